--- a/src/main/kotlin/dandelionpoint/cli/DemoCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/DemoCommand.kt
@@ -11,8 +11,8 @@
 import dandelionpoint.protocol.TaskSpec
 import dandelionpoint.settings.Address
 import dandelionpoint.settings.EntrySettings
-import dandelionpoint.standin.platform.PlatformStandIn
-import dandelionpoint.standin.platform.PlatformStandInSettings
+import dandelionpoint.standin.store.PlatformStandIn
+import dandelionpoint.standin.store.PlatformStandInSettings
 import dandelionpoint.standin.upstream.UpstreamStandIn
 import dandelionpoint.standin.upstream.UpstreamStandInSettings
 import dandelionpoint.transport.http.TokenFile
--- /dev/null
+++ b/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
@@ -0,0 +1,81 @@
+package dandelionpoint.cli
+
+import arrow.core.Either
+import dandelionpoint.fleet.FleetVm
+import dandelionpoint.platform.ListenAddress
+import dandelionpoint.platform.PlatformClients
+import dandelionpoint.platform.platformPorts
+import dandelionpoint.settings.FleetSettings
+import dandelionpoint.settings.HostAndPort
+import dandelionpoint.settings.SettingsReader
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import picocli.CommandLine.Command
+import picocli.CommandLine.Parameters
+import java.io.IOException
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import java.util.concurrent.CountDownLatch
+
+/** Runs an entry VM on the users' platform until it is told to stop. */
+@Command(
+    name = "fleet",
+    description = ["Runs an entry VM that dispatches to leased workers."],
+    mixinStandardHelpOptions = true,
+    footer = ["", "Example: dandelionpoint fleet settings.json", "Without FILE, the variable DANDELIONPOINT_SETTINGS names it."],
+)
+internal class FleetCommand : Callable<Int> {
+    @Parameters(paramLabel = "FILE", description = ["Settings, JSON with comments."], arity = "0..1")
+    private var file: Path? = null
+
+    override fun call(): Int {
+        val path = file ?: System.getenv(SETTINGS_VARIABLE)?.let { Path.of(it) }
+        if (path == null) {
+            System.err.println("name a settings file, or set $SETTINGS_VARIABLE")
+            return ExitCode.USAGE
+        }
+        return when (val read = SettingsReader.readFleet(path)) {
+            is Either.Left -> {
+                read.value.forEach { System.err.println(it) }
+                ExitCode.USAGE
+            }
+
+            is Either.Right -> serve(read.value)
+        }
+    }
+
+    private fun serve(settings: FleetSettings): Int = try {
+        val vm = FleetVm(settings, platformPorts(settings.store.toString()))
+        val clients = PlatformClients(vm, vm.scope, settings.clients.listen(), settings.readiness?.listen())
+        runBlocking { vm.start() }
+        clients.start()
+        vm.scope.launch {
+            while (true) {
+                delay(CLIENT_POLL_MS)
+                clients.poll()
+            }
+        }
+        stopOnSignal(vm, clients)
+        CountDownLatch(1).await()
+        ExitCode.OK
+    } catch (e: IOException) {
+        System.err.println("cannot start: ${e.message}")
+        ExitCode.REFUSED
+    }
+
+    private fun HostAndPort.listen() = ListenAddress(host, port)
+
+    private fun stopOnSignal(vm: FleetVm, clients: PlatformClients) {
+        val hook = Thread {
+            runBlocking { vm.drain { clients.open() } }
+            vm.close()
+        }
+        Runtime.getRuntime().addShutdownHook(hook)
+    }
+
+    private companion object {
+        const val SETTINGS_VARIABLE = "DANDELIONPOINT_SETTINGS"
+        const val CLIENT_POLL_MS = 100L
+    }
+}
--- a/src/main/kotlin/dandelionpoint/cli/PlatformCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/PlatformCommand.kt
@@ -1,8 +1,8 @@
 /* Runs the platform stand-in. */
 package dandelionpoint.cli
 
-import dandelionpoint.standin.platform.PlatformStandIn
-import dandelionpoint.standin.platform.PlatformStandInSettings
+import dandelionpoint.standin.store.PlatformStandIn
+import dandelionpoint.standin.store.PlatformStandInSettings
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import picocli.CommandLine.Command
--- a/src/main/kotlin/dandelionpoint/coordination/configuration/ConfigurationChanger.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/configuration/ConfigurationChanger.kt
@@ -6,9 +6,9 @@
 import arrow.core.right
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.ResultCode
-import dandelionpoint.protocol.platform.StoreError
-import dandelionpoint.protocol.platform.Transaction
-import dandelionpoint.protocol.platform.TransactionResult
+import dandelionpoint.protocol.store.StoreError
+import dandelionpoint.protocol.store.Transaction
+import dandelionpoint.protocol.store.TransactionResult
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import java.util.concurrent.atomic.AtomicInteger
--- a/src/main/kotlin/dandelionpoint/coordination/configuration/ConfigurationRows.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/configuration/ConfigurationRows.kt
@@ -1,10 +1,10 @@
 /* Rows of the configuration in the table. One transaction changes the head and every row that the change concerns. */
 package dandelionpoint.coordination.configuration
 
-import dandelionpoint.protocol.platform.Check
-import dandelionpoint.protocol.platform.Put
-import dandelionpoint.protocol.platform.Row
-import dandelionpoint.protocol.platform.Transaction
+import dandelionpoint.protocol.store.Check
+import dandelionpoint.protocol.store.Put
+import dandelionpoint.protocol.store.Row
+import dandelionpoint.protocol.store.Transaction
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 
--- a/src/main/kotlin/dandelionpoint/coordination/configuration/ConfigurationService.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/configuration/ConfigurationService.kt
@@ -10,8 +10,8 @@
 import dandelionpoint.protocol.millis
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.VmIdentity
-import dandelionpoint.protocol.platform.StoreError
-import dandelionpoint.protocol.platform.Table
+import dandelionpoint.protocol.store.StoreError
+import dandelionpoint.protocol.store.Table
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.currentCoroutineContext
--- a/src/main/kotlin/dandelionpoint/coordination/configuration/ConfigurationStore.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/configuration/ConfigurationStore.kt
@@ -4,11 +4,11 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.raise.either
-import dandelionpoint.protocol.platform.ScanPage
-import dandelionpoint.protocol.platform.StoreError
-import dandelionpoint.protocol.platform.Table
-import dandelionpoint.protocol.platform.Transaction
-import dandelionpoint.protocol.platform.TransactionResult
+import dandelionpoint.protocol.store.ScanPage
+import dandelionpoint.protocol.store.StoreError
+import dandelionpoint.protocol.store.Table
+import dandelionpoint.protocol.store.Transaction
+import dandelionpoint.protocol.store.TransactionResult
 import kotlinx.coroutines.withTimeoutOrNull
 
 internal class ConfigurationStore(private val table: Table, private val settings: ConfigurationSettings) {
--- /dev/null
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/FleetRules.kt
@@ -0,0 +1,32 @@
+package dandelionpoint.coordination.fleet
+
+/**
+ * Times and limits of the fleet's rules. All times are in ms.
+ *
+ * @property leaseMs length of a worker's lease, the most that workers grant
+ * @property renewMs longest wait for an end before the lease is renewed
+ * @property leaseMarginMs a run counts as ended this long after its lease has expired
+ * @property orderTimeoutMs longest wait for a worker's answer to an order
+ * @property stuckGraceMs a run is never judged as stuck earlier than this
+ * @property stuckFactor a run is stuck if it would take this many times the expected run time
+ * @property ejectMs how long a worker that fails its runs is avoided at first; doubles up to [ejectMaxMs]
+ * @property peerSilentMs a peer that was not heard for this long is lost
+ * @property claimStaleMs a cell may be taken over if its keeper has not renewed the claim for this long
+ * @property lapsedGraceMs an entry that lapsed while the store was away may return for this long after the store's return
+ */
+internal data class FleetRules(
+    val leaseMs: Long = 1_000,
+    val renewMs: Int = 300,
+    val leaseMarginMs: Long = 60,
+    val orderTimeoutMs: Long = 400,
+    val stuckGraceMs: Long = 150,
+    val stuckFactor: Double = 3.0,
+    val ejectMs: Long = 2_000,
+    val ejectMaxMs: Long = 10_000,
+    val peerSilentMs: Long = 700,
+    val claimStaleMs: Long = 1_300,
+    val lapsedGraceMs: Long = 2_300,
+) {
+    /** The worker's clock may run 2 % slow, so that a lease lasts up to this on this VM's clock. */
+    val longestLeaseMs: Long get() = leaseMs + leaseMs / 50 + leaseMarginMs
+}
--- /dev/null
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerSeat.kt
@@ -0,0 +1,100 @@
+/*
+ * One worker as its keeper sees it: the runs it was told to start, the room that is left, its clock and its lease. A run occupies room
+ * from the order on until its end is listed, or until the lease that it lives on has certainly expired.
+ */
+package dandelionpoint.coordination.fleet
+
+import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.TaskRef
+import dandelionpoint.protocol.fleet.WorkerEntry
+import kotlin.math.max
+
+/** State of a run on a worker. */
+internal enum class RunState {
+    /** The order is on its way. */
+    ORDERED,
+    RUNNING,
+
+    /** No answer to the order came: the next list of runs tells whether it was started. */
+    UNCERTAIN,
+
+    /** To be stopped; ends when the worker lists its end or confirms the stop. */
+    STOPPING,
+}
+
+/** A run on a worker. [orderedAt] and [knownSince] are in ms on the VM's clock. */
+internal class SeatedRun(val order: RunOrder, val orderedAt: Long) {
+    var state = RunState.ORDERED
+
+    /** Time of the answer to the order, or of its timeout: lists asked for later must have the run if it exists. */
+    var knownSince = Long.MAX_VALUE
+}
+
+/** One worker. Not thread-safe. */
+internal class WorkerSeat(var entry: WorkerEntry, rules: FleetRules) {
+    val trust = WorkerTrust(rules)
+    val runs = LinkedHashMap<TaskRef, SeatedRun>()
+
+    /** Highest number of an end that was handled; the next call acknowledges it. */
+    var handledEnd = 0L
+
+    /** Highest number that a call has acknowledged. */
+    var acknowledgedEnd = 0L
+
+    /** True once this keeper has seen the worker's list of runs. */
+    var isKnown = false
+
+    /** False while the former keeper still has runs here. */
+    var isReleased = true
+
+    /** False while the worker leaves calls unanswered. */
+    var isAnswering = true
+
+    /** VM time at which all runs have ended at the latest if the lease is not renewed. */
+    var leaseEndsAt = 0L
+
+    /** Incarnation that the list of runs belongs to, 0 if unknown. */
+    var bornMs = 0L
+
+    private var clockMs = 0L
+    private var clockReadAt = 0L
+
+    /** Takes the worker's clock from an answer that came at [now]. */
+    fun readClock(workerClockMs: Long, now: Long) {
+        clockMs = workerClockMs
+        clockReadAt = now
+    }
+
+    /** A time that the worker's clock has certainly reached at [now], up to its drift since the last answer. */
+    fun workerClock(now: Long): Long = clockMs + (now - clockReadAt)
+
+    fun used(): Demand = runs.values.fold(Demand(0)) { sum, run -> sum + run.order.demand }
+
+    fun free(): Demand = entry.capacity - used()
+
+    /** True if new runs may be started here at all. */
+    fun isUsable(): Boolean = isKnown && isReleased && isAnswering && !entry.isDraining
+
+    /** True if [order] fits at [now]. */
+    fun fits(order: RunOrder, now: Long): Boolean = isUsable() &&
+        entry.pool == order.pool &&
+        runs.size < trust.runLimit(now) &&
+        order.task !in runs &&
+        (order.requiredLabel == null || order.requiredLabel in entry.labels) &&
+        (order.maxPerWorker == 0 || runs.values.count { it.order.sharesStepWith(order) } < order.maxPerWorker) &&
+        free().covers(order.demand)
+
+    /** Expected run time of [order] here, in ms. */
+    fun expectedMs(order: RunOrder): Long = max(1L, (order.estimateMs / trust.speed).toLong())
+
+    /** Forgets the worker's former incarnation. Returns the runs that ended with it. */
+    fun restart(): List<SeatedRun> {
+        val ended = runs.values.toList()
+        runs.clear()
+        handledEnd = 0
+        acknowledgedEnd = 0
+        isKnown = false
+        leaseEndsAt = 0
+        return ended
+    }
+}
--- a/src/main/kotlin/dandelionpoint/coordination/ownership/ConditionalWriter.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/ownership/ConditionalWriter.kt
@@ -3,11 +3,11 @@
 
 import arrow.core.Either
 import arrow.core.getOrElse
-import dandelionpoint.protocol.platform.Row
-import dandelionpoint.protocol.platform.StoreError
-import dandelionpoint.protocol.platform.Table
-import dandelionpoint.protocol.platform.Transaction
-import dandelionpoint.protocol.platform.TransactionResult
+import dandelionpoint.protocol.store.Row
+import dandelionpoint.protocol.store.StoreError
+import dandelionpoint.protocol.store.Table
+import dandelionpoint.protocol.store.Transaction
+import dandelionpoint.protocol.store.TransactionResult
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** Outcome of a conditional write. */
--- a/src/main/kotlin/dandelionpoint/coordination/ownership/IntentLog.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/ownership/IntentLog.kt
@@ -2,9 +2,9 @@
 package dandelionpoint.coordination.ownership
 
 import dandelionpoint.protocol.SubmissionId
-import dandelionpoint.protocol.platform.Check
-import dandelionpoint.protocol.platform.Put
-import dandelionpoint.protocol.platform.Transaction
+import dandelionpoint.protocol.store.Check
+import dandelionpoint.protocol.store.Put
+import dandelionpoint.protocol.store.Transaction
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
--- a/src/main/kotlin/dandelionpoint/coordination/ownership/RecordCleaner.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/ownership/RecordCleaner.kt
@@ -3,10 +3,10 @@
 
 import arrow.core.getOrElse
 import dandelionpoint.protocol.SubmissionId
-import dandelionpoint.protocol.platform.Row
-import dandelionpoint.protocol.platform.Table
-import dandelionpoint.protocol.platform.Transaction
-import dandelionpoint.protocol.platform.TransactionResult
+import dandelionpoint.protocol.store.Row
+import dandelionpoint.protocol.store.Table
+import dandelionpoint.protocol.store.Transaction
+import dandelionpoint.protocol.store.TransactionResult
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 
--- a/src/main/kotlin/dandelionpoint/coordination/ownership/RecordReader.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/ownership/RecordReader.kt
@@ -2,9 +2,9 @@
 package dandelionpoint.coordination.ownership
 
 import arrow.core.getOrElse
-import dandelionpoint.protocol.platform.ObjectStore
-import dandelionpoint.protocol.platform.Row
-import dandelionpoint.protocol.platform.Table
+import dandelionpoint.protocol.store.ObjectStore
+import dandelionpoint.protocol.store.Row
+import dandelionpoint.protocol.store.Table
 import dandelionpoint.state.record.Record
 import dandelionpoint.state.record.RecordEntry
 import kotlinx.coroutines.delay
--- a/src/main/kotlin/dandelionpoint/coordination/ownership/RecordWriter.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/ownership/RecordWriter.kt
@@ -2,10 +2,10 @@
 package dandelionpoint.coordination.ownership
 
 import dandelionpoint.protocol.Clock
-import dandelionpoint.protocol.platform.Check
-import dandelionpoint.protocol.platform.ObjectStore
-import dandelionpoint.protocol.platform.Put
-import dandelionpoint.protocol.platform.Transaction
+import dandelionpoint.protocol.store.Check
+import dandelionpoint.protocol.store.ObjectStore
+import dandelionpoint.protocol.store.Put
+import dandelionpoint.protocol.store.Transaction
 import dandelionpoint.state.record.Record
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
--- a/src/main/kotlin/dandelionpoint/coordination/ownership/RowKeeper.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/ownership/RowKeeper.kt
@@ -5,10 +5,10 @@
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.SubmissionId
 import dandelionpoint.protocol.peer.VmIdentity
-import dandelionpoint.protocol.platform.Check
-import dandelionpoint.protocol.platform.Put
-import dandelionpoint.protocol.platform.Row
-import dandelionpoint.protocol.platform.Transaction
+import dandelionpoint.protocol.store.Check
+import dandelionpoint.protocol.store.Put
+import dandelionpoint.protocol.store.Row
+import dandelionpoint.protocol.store.Transaction
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
--- a/src/main/kotlin/dandelionpoint/coordination/ownership/RowWatcher.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/ownership/RowWatcher.kt
@@ -3,8 +3,8 @@
 
 import arrow.core.getOrElse
 import dandelionpoint.protocol.peer.VmIdentity
-import dandelionpoint.protocol.platform.Row
-import dandelionpoint.protocol.platform.Table
+import dandelionpoint.protocol.store.Row
+import dandelionpoint.protocol.store.Table
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
--- a/src/main/kotlin/dandelionpoint/coordination/ownership/ShardOwnership.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/ownership/ShardOwnership.kt
@@ -6,8 +6,8 @@
 import dandelionpoint.protocol.ResultCode
 import dandelionpoint.protocol.SubmissionId
 import dandelionpoint.protocol.peer.VmIdentity
-import dandelionpoint.protocol.platform.ObjectStore
-import dandelionpoint.protocol.platform.Table
+import dandelionpoint.protocol.store.ObjectStore
+import dandelionpoint.protocol.store.Table
 import dandelionpoint.state.record.Record
 import dandelionpoint.state.record.RecordEntry
 import io.github.oshai.kotlinlogging.KotlinLogging
--- a/src/main/kotlin/dandelionpoint/coordination/placement/SlotLeasePlacement.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/placement/SlotLeasePlacement.kt
@@ -4,8 +4,8 @@
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.SlotHolding
 import dandelionpoint.protocol.peer.VmIdentity
-import dandelionpoint.protocol.platform.VmEntry
-import dandelionpoint.protocol.platform.WorkerUsage
+import dandelionpoint.protocol.store.VmEntry
+import dandelionpoint.protocol.store.WorkerUsage
 import dandelionpoint.protocol.worker.CallOutcome
 import dandelionpoint.state.worker.SlotQuery
 import dandelionpoint.state.worker.WorkerRecord
--- a/src/main/kotlin/dandelionpoint/coordination/store/ResolvingTable.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/store/ResolvingTable.kt
@@ -18,13 +18,13 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import dandelionpoint.protocol.platform.Row
-import dandelionpoint.protocol.platform.StoreError
-import dandelionpoint.protocol.platform.Table
-import dandelionpoint.protocol.platform.Transaction
-import dandelionpoint.protocol.platform.TransactionResult
-import dandelionpoint.protocol.platform.TransactionResult.Committed
-import dandelionpoint.protocol.platform.TransactionResult.Conflict
+import dandelionpoint.protocol.store.Row
+import dandelionpoint.protocol.store.StoreError
+import dandelionpoint.protocol.store.Table
+import dandelionpoint.protocol.store.Transaction
+import dandelionpoint.protocol.store.TransactionResult
+import dandelionpoint.protocol.store.TransactionResult.Committed
+import dandelionpoint.protocol.store.TransactionResult.Conflict
 
 /** A [table] whose lost answers are resolved where possible. A transaction is sent again at most [resends] times. */
 class ResolvingTable(private val table: Table, private val resends: Int = 1) : Table by table {
--- a/src/main/kotlin/dandelionpoint/entry/DirectoryWatch.kt
+++ b/src/main/kotlin/dandelionpoint/entry/DirectoryWatch.kt
@@ -2,8 +2,8 @@
 package dandelionpoint.entry
 
 import dandelionpoint.coordination.placement.Placement
-import dandelionpoint.protocol.platform.PlatformDirectory
-import dandelionpoint.protocol.platform.VmRole
+import dandelionpoint.protocol.store.PlatformDirectory
+import dandelionpoint.protocol.store.VmRole
 import dandelionpoint.transport.peer.PeerAddress
 
 /** Watches the lists of VMs and usage. [onPeers] gets the addresses of the entry VMs in the list. */
--- a/src/main/kotlin/dandelionpoint/entry/EntryVm.kt
+++ b/src/main/kotlin/dandelionpoint/entry/EntryVm.kt
@@ -37,11 +37,11 @@
 import dandelionpoint.transport.peer.PeerAddress
 import dandelionpoint.transport.peer.PeerEvents
 import dandelionpoint.transport.peer.PeerNetwork
-import dandelionpoint.transport.platform.HttpObjectStore
-import dandelionpoint.transport.platform.HttpPlatformDirectory
-import dandelionpoint.transport.platform.HttpTable
-import dandelionpoint.transport.platform.PlatformClient
-import dandelionpoint.transport.platform.PlatformClientSettings
+import dandelionpoint.transport.store.HttpObjectStore
+import dandelionpoint.transport.store.HttpPlatformDirectory
+import dandelionpoint.transport.store.HttpTable
+import dandelionpoint.transport.store.PlatformClient
+import dandelionpoint.transport.store.PlatformClientSettings
 import dandelionpoint.transport.worker.HttpWorkerClient
 import dandelionpoint.transport.worker.WorkerClientSettings
 import io.github.oshai.kotlinlogging.KotlinLogging
--- a/src/main/kotlin/dandelionpoint/entry/PeerService.kt
+++ b/src/main/kotlin/dandelionpoint/entry/PeerService.kt
@@ -11,6 +11,7 @@
 import dandelionpoint.protocol.JobView
 import dandelionpoint.protocol.Refusal
 import dandelionpoint.protocol.peer.PeerLink
+import dandelionpoint.protocol.peer.FleetMessage
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.PeerReply
 import dandelionpoint.protocol.peer.ServingState
@@ -46,7 +47,7 @@
 
         is PeerMessage.Goodbye -> onGoodbye(from)
 
-        is PeerMessage.Hello, is PeerMessage.ForwardReply, is PeerMessage.SlotGrant, is PeerMessage.ConfigChanges -> null
+        is PeerMessage.Hello, is PeerMessage.ForwardReply, is PeerMessage.SlotGrant, is PeerMessage.ConfigChanges, is FleetMessage -> null
     }
 
     private fun onHeartbeat(from: VmIdentity, heartbeat: PeerMessage.Heartbeat): PeerMessage? {
--- /dev/null
+++ b/src/main/kotlin/dandelionpoint/fleet/CellKeeper.kt
@@ -0,0 +1,164 @@
+/*
+ * Keeps one cell: sends starts and stops, and holds one lease call open for each worker that has runs. Decisions are in [Cell].
+ */
+package dandelionpoint.fleet
+
+import dandelionpoint.coordination.fleet.Cell
+import dandelionpoint.coordination.fleet.CellEvent
+import dandelionpoint.coordination.fleet.FleetRules
+import dandelionpoint.coordination.fleet.LeasePlan
+import dandelionpoint.coordination.fleet.Placement
+import dandelionpoint.coordination.fleet.RunOrder
+import dandelionpoint.protocol.Clock
+import dandelionpoint.protocol.fleet.LeaseOutcome
+import dandelionpoint.protocol.fleet.RunEnd
+import dandelionpoint.protocol.fleet.StartOrder
+import dandelionpoint.protocol.fleet.StartOutcome
+import dandelionpoint.protocol.fleet.TaskRun
+import dandelionpoint.protocol.fleet.WorkerEntry
+import dandelionpoint.protocol.fleet.WorkerPort
+import dandelionpoint.protocol.millis
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.ConcurrentHashMap
+
+private val log = KotlinLogging.logger {}
+
+/** Hears what happens to a cell's runs. */
+internal interface CellListener {
+    /** [order] has ended on the worker [workerId] and runs nowhere any more. */
+    fun ended(order: RunOrder, end: RunEnd, workerId: String)
+
+    /** Another VM keeps the cell now. */
+    fun fenced(cell: String)
+}
+
+/** Runs [cell]. [vmScope] bounds its life. */
+internal class CellKeeper(
+    private val vmScope: CoroutineScope,
+    val cell: Cell,
+    private val port: WorkerPort,
+    private val listener: CellListener,
+    private val clock: Clock = Clock.System,
+    private val rules: FleetRules = FleetRules(),
+) {
+    private val life = SupervisorJob(vmScope.coroutineContext[Job])
+    private val scope = CoroutineScope(vmScope.coroutineContext + life)
+    private val signals = ConcurrentHashMap<String, Channel<Unit>>()
+
+    /** Takes the cell's workers and attends to new ones. */
+    fun updateWorkers(entries: List<WorkerEntry>) {
+        handle(cell.updateWorkers(entries, clock.millis()))
+        cell.workerIds().forEach { id ->
+            signals.computeIfAbsent(id) { Channel<Unit>(Channel.CONFLATED).also { scope.launch { attend(id, it) } } }
+        }
+    }
+
+    /** Wakes the attendants, after workers were released. */
+    fun wake() = signals.values.forEach { it.trySend(Unit) }
+
+    /** Starts [order] on a worker; false if none has room. */
+    fun place(order: RunOrder): Boolean {
+        val placement = cell.place(order, clock.millis()) ?: return false
+        scope.launch { start(placement) }
+        return true
+    }
+
+    private suspend fun start(placement: Placement) {
+        val order = StartOrder(placement.order.run, placement.order.payload, placement.leaseUntilMs, cell.token)
+        signals[placement.worker.id]?.trySend(Unit)
+        val outcome = port.start(placement.worker, order, rules.orderTimeoutMs)
+        if (outcome !is StartOutcome.Started) {
+            log.info { "event=start_not_confirmed task=${order.run.task} run=${order.run.run} worker=${placement.worker.id} outcome=$outcome" }
+        }
+        handle(cell.onStart(placement, outcome, clock.millis()))
+        if (outcome is StartOutcome.Unknown) signals[placement.worker.id]?.trySend(Unit)
+    }
+
+    /** Stops the runs that [matches] selects. */
+    fun stopRuns(matches: (RunOrder) -> Boolean) = handle(cell.stopRuns(matches))
+
+    /** Ends runs whose lease has expired. */
+    fun tick() = handle(cell.tick(clock.millis()))
+
+    /** Ends the keeping. Runs are reported as lost once the new keeper has stopped them or their lease has expired. */
+    fun abandon() {
+        life.cancel()
+        val lost = cell.abandon()
+        vmScope.launch {
+            delay(rules.longestLeaseMs)
+            handle(lost)
+        }
+    }
+
+    private fun handle(events: List<CellEvent>) {
+        events.forEach { event ->
+            when (event) {
+                is CellEvent.Ended -> listener.ended(event.order, event.end, event.workerId)
+                is CellEvent.Stop -> scope.launch { stop(event.worker, event.run) }
+                is CellEvent.Fenced -> listener.fenced(cell.name)
+            }
+        }
+    }
+
+    private suspend fun stop(worker: WorkerEntry, run: TaskRun) {
+        val isConfirmed = port.stop(worker, run, cell.token, rules.orderTimeoutMs)
+        if (isConfirmed) handle(cell.onStopped(worker.id, run))
+    }
+
+    private suspend fun attend(id: String, signal: Channel<Unit>) {
+        while (scope.isActive && id in cell.workerIds()) {
+            val plan = cell.planLease(id, clock.millis())
+            if (plan == null) {
+                withTimeoutOrNull(IDLE_CHECK_MS) { signal.receive() }
+            } else if (plan.isAcknowledgement() && withTimeoutOrNull(ACKNOWLEDGE_MS) { signal.receive() } != null) {
+                continue
+            } else {
+                lease(plan)
+            }
+        }
+        signals.remove(id)
+    }
+
+    /** True for a call that only acknowledges ends: it can wait a little for the next run. */
+    private fun LeasePlan.isAcknowledgement() = call.leaseUntilMs == null && call.seenEnd > 0 && !cell.hasRuns(worker.id)
+
+    private suspend fun lease(plan: LeasePlan) {
+        val fresh = cell.planLease(plan.worker.id, clock.millis()) ?: return
+        when (val outcome = port.lease(fresh.worker, fresh.call, fresh.call.waitMs + rules.orderTimeoutMs)) {
+            is LeaseOutcome.Answered -> {
+                handle(cell.onReport(fresh, outcome.report, clock.millis()))
+                if (fresh.call.waitMs == 0 && cell.hasRuns(fresh.worker.id)) delay(POLL_PAUSE_MS)
+            }
+
+            is LeaseOutcome.Fenced -> listener.fenced(cell.name)
+
+            is LeaseOutcome.OtherIncarnation -> {
+                handle(cell.onOtherIncarnation(fresh, clock.millis()))
+                delay(RETRY_MS)
+            }
+
+            is LeaseOutcome.NoAnswer -> {
+                log.info { "event=worker_silent worker=${fresh.worker.id} cell=${cell.name} reason=\"${outcome.reason}\"" }
+                cell.onNoAnswer(fresh)
+                delay(RETRY_MS)
+            }
+        }
+    }
+
+    private companion object {
+        const val IDLE_CHECK_MS = 2_000L
+
+        /** How long an acknowledgement waits for a run to travel with. */
+        const val ACKNOWLEDGE_MS = 250L
+        const val POLL_PAUSE_MS = 20L
+        const val RETRY_MS = 150L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
@@ -0,0 +1,122 @@
+/*
+ * Decodes the platform's documents into the product's types. Entries that come from another writer, with members missing or of another
+ * type, decode to null.
+ */
+package dandelionpoint.platform
+
+import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.FleetConfiguration
+import dandelionpoint.protocol.fleet.FleetJob
+import dandelionpoint.protocol.fleet.JobQueue
+import dandelionpoint.protocol.fleet.JobStep
+import dandelionpoint.protocol.fleet.QueueRoute
+import dandelionpoint.protocol.fleet.TaskRef
+import dandelionpoint.protocol.fleet.WorkerEntry
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.intOrNull
+
+private const val READY = "ready"
+private const val DRAINING = "draining"
+
+/** Occurrence of a job that is not repeated; the third part of the platform's task names. */
+private const val SINGLE_OCCURRENCE = 0
+
+/** A worker's registration under its [id]; null if it names no worker to use. */
+internal fun decodeWorker(id: String, bytes: ByteArray): WorkerEntry? {
+    val body = parseObject(bytes) ?: return null
+    val state = body.text("state")?.takeIf { it == READY || it == DRAINING } ?: return null
+    val (host, port) = body.text("address")?.let { hostAndPort(it) } ?: return null
+    return WorkerEntry(
+        id = id,
+        pool = body.text("service") ?: return null,
+        host = host,
+        port = port,
+        dataCentre = body.text("zone") ?: return null,
+        isDraining = state == DRAINING,
+        capacity = decodeDemand(body.obj("capacity") ?: return null),
+        labels = body.array("labels").mapNotNull { it.asText() }.toSet(),
+        bornMs = body.long("born") ?: 0L,
+    )
+}
+
+private fun hostAndPort(address: String): Pair<String, Int>? {
+    val port = address.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..65_535 } ?: return null
+    return address.substringBeforeLast(':').takeIf { it.isNotEmpty() }?.let { it to port }
+}
+
+private fun decodeDemand(body: JsonObject) = Demand(body.int("cpu") ?: 0, body.int("mem_mb") ?: 0, body.int("gpu") ?: 0)
+
+/** The operator's configuration; null if it cannot be read. */
+internal fun decodeConfiguration(bytes: ByteArray): FleetConfiguration? {
+    val body = parseObject(bytes) ?: return null
+    val routes = body.array("routes").mapNotNull { (it as? JsonObject)?.let(::decodeRoute) }
+    return FleetConfiguration(body.long("version") ?: return null, routes, bytes.decodeToString())
+}
+
+private fun decodeRoute(body: JsonObject): QueueRoute? {
+    val queue = JobQueue(
+        name = body.text("name") ?: return null,
+        pool = body.text("service").orEmpty(),
+        priority = body.int("priority") ?: 0,
+        maxAttempts = (body.int("max_attempts") ?: 1).coerceAtLeast(1),
+        stretch = body.double("stretch") ?: 1.0,
+        latencyTargetMs = body.long("latency_target_ms") ?: 0L,
+    )
+    return QueueRoute(body.text("host") ?: return null, body.text("path_prefix") ?: return null, queue)
+}
+
+/** What a client has submitted. */
+internal sealed interface SubmittedBody {
+    data class BestEffort(val job: FleetJob) : SubmittedBody
+
+    /** The job asks for something that is not served; [feature] names it. */
+    data class NotServed(val feature: String) : SubmittedBody
+
+    data class Malformed(val reason: String) : SubmittedBody
+}
+
+/** Members of a step that change how it must be run and are not served. */
+private val UNSERVED_STEP_FLAGS = listOf("gang", "long_running", "fills")
+
+/** Decodes the body of a submission with [id]. */
+internal fun decodeJob(id: String, bytes: ByteArray): SubmittedBody {
+    val body = parseObject(bytes) ?: return SubmittedBody.Malformed("the body is not a JSON object")
+    val steps = body.array("steps").map { decodeStep(it as? JsonObject) ?: return SubmittedBody.Malformed("a step cannot be read") }
+    val flags = body.array("steps").flatMap { step -> UNSERVED_STEP_FLAGS.filter { (step as JsonObject).flag(it) } }
+    val job = FleetJob(id, body.text("spec").orEmpty(), steps)
+    return when {
+        steps.isEmpty() -> SubmittedBody.Malformed("the job has no step")
+        steps.withIndex().any { (index, step) -> step.after.any { it !in 0 until index } } ->
+            SubmittedBody.Malformed("a step waits for itself or a later one")
+        !body.flag("best_effort") -> SubmittedBody.NotServed("jobs that are kept")
+        flags.isNotEmpty() -> SubmittedBody.NotServed(flags.first())
+        (body.long("repeat_count") ?: 0L) > 0 -> SubmittedBody.NotServed("repeated jobs")
+        else -> SubmittedBody.BestEffort(job)
+    }
+}
+
+private fun decodeStep(body: JsonObject?): JobStep? {
+    if (body == null) return null
+    return JobStep(
+        count = body.int("count")?.takeIf { it in 1..MAX_TASKS } ?: return null,
+        demand = decodeDemand(body),
+        estimateMs = body.long("est_runtime_ms") ?: 0L,
+        after = body.array("after").map { (it as? JsonPrimitive)?.intOrNull ?: return null },
+        requiredLabel = body.text("required_label")?.takeIf { it.isNotEmpty() },
+        rack = body.text("affinity")?.takeIf { it.isNotEmpty() },
+        maxPerWorker = body.int("max_per_server") ?: 0,
+    )
+}
+
+private const val MAX_TASKS = 1_200
+
+/** The platform's name of a task. */
+internal fun TaskRef.wireName(): String = "$jobId.$SINGLE_OCCURRENCE.$step.$index"
+
+/** The task with the platform's [name]; null if it is not one. */
+internal fun decodeTask(name: String): TaskRef? {
+    val parts = name.split('.')
+    if (parts.size != 4) return null
+    return TaskRef(parts[0], parts[2].toIntOrNull() ?: return null, parts[3].toIntOrNull() ?: return null)
+}
--- /dev/null
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
@@ -0,0 +1,177 @@
+/* The platform's interface for clients: jobs by their path below a queue's prefix, and the readiness check. */
+package dandelionpoint.platform
+
+import dandelionpoint.fleet.FleetFront
+import dandelionpoint.protocol.fleet.JobOutcome
+import dandelionpoint.protocol.fleet.QueueRoute
+import dandelionpoint.transport.http.ConnectionWatch
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.javalin.Javalin
+import io.javalin.http.Context
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.future.future
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.eclipse.jetty.server.HttpConfiguration
+import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.ServerConnector
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+
+private val log = KotlinLogging.logger {}
+
+/** Address of a listener. */
+internal data class ListenAddress(val host: String, val port: Int)
+
+/** HTTP server for clients at [clients] and for the readiness check at [readiness]. */
+internal class PlatformClients(
+    private val front: FleetFront,
+    private val scope: CoroutineScope,
+    private val clients: ListenAddress,
+    private val readiness: ListenAddress?,
+) {
+    private val watch = ConnectionWatch()
+
+    private val server: Javalin = Javalin.create { config ->
+        config.startup.showJavalinBanner = false
+        config.http.maxRequestSize = MAX_BODY_BYTES
+        config.jetty.threadPool = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
+        config.jetty.modifyHttpConfiguration { it.sendServerVersion = false }
+        readiness?.let { address ->
+            config.jetty.addConnector { server, _ ->
+                ServerConnector(server, 1, 1, HttpConnectionFactory(HttpConfiguration())).apply {
+                    host = address.host
+                    port = address.port
+                }
+            }
+        }
+        config.jetty.addConnector { server, settings ->
+            ServerConnector(server, 1, 1, HttpConnectionFactory(settings)).apply {
+                host = clients.host
+                port = clients.port
+                idleTimeout = IDLE_MS
+            }
+        }
+        config.routes.get(READINESS) { it.status(if (front.isReady) OK else UNAVAILABLE) }
+        config.routes.post(ANY) { submit(it) }
+        config.routes.get(ANY) { show(it) }
+        config.routes.delete(ANY) { cancel(it) }
+        config.routes.exception(Exception::class.java) { e, context ->
+            log.error(e) { "event=request_failed path=${context.path()}" }
+            context.status(INTERNAL_ERROR)
+        }
+    }
+
+    /** Requests in progress. */
+    fun open(): Int = watch.open()
+
+    /** Looks for clients that have gone away. */
+    fun poll() = watch.poll()
+
+    fun start() {
+        server.start()
+    }
+
+    fun stop() {
+        server.stop()
+    }
+
+    private fun routeOf(context: Context): QueueRoute? {
+        if (front.isStopping) context.header("Connection", "close")
+        if (!front.hasConfiguration) {
+            refuse(context, UNAVAILABLE, "no configuration yet")
+            return null
+        }
+        val route = front.route(context.host().orEmpty().substringBefore(':'), context.path())
+        if (route == null) refuse(context, NOT_FOUND, "no such queue")
+        return route
+    }
+
+    private fun submit(context: Context) {
+        val route = routeOf(context) ?: return
+        val id = context.path().removePrefix(route.pathPrefix)
+        if (!ID.matches(id)) return refuse(context, BAD_REQUEST, "the id must be 16 hexadecimal digits")
+        when (val body = decodeJob(id, context.bodyAsBytes())) {
+            is SubmittedBody.Malformed -> refuse(context, BAD_REQUEST, body.reason)
+            is SubmittedBody.NotServed -> refuse(context, UNAVAILABLE, "not served: ${body.feature}")
+            is SubmittedBody.BestEffort -> run(context, route, body)
+        }
+    }
+
+    private fun run(context: Context, route: QueueRoute, body: SubmittedBody.BestEffort) {
+        val waitMs = context.header("Deadline-Remaining-Ms")?.toLongOrNull() ?: DEFAULT_WAIT_MS
+        val entry = watch.watch(context.req()) { front.cancel(body.job.id) }
+        context.future {
+            scope.future {
+                try {
+                    front.run(body.job, route.queue, waitMs)
+                } finally {
+                    entry.end()
+                }
+            }.thenAccept { outcome ->
+                if (entry.mustClose) context.header("Connection", "close")
+                answer(context, outcome)
+            }
+        }
+    }
+
+    private fun answer(context: Context, outcome: JobOutcome) {
+        when (outcome) {
+            is JobOutcome.Completed -> state(context, "completed")
+
+            is JobOutcome.Failed -> state(context, "failed")
+
+            is JobOutcome.NotRun -> {
+                context.header("Retry-After", ((outcome.retryAfterMs + MS_PER_S - 1) / MS_PER_S).toString())
+                refuse(context, UNAVAILABLE, "not run: ${outcome.reason}")
+            }
+
+            is JobOutcome.GivenUp -> refuse(context, GATEWAY_TIMEOUT, outcome.reason)
+        }
+    }
+
+    private fun show(context: Context) {
+        val route = routeOf(context) ?: return
+        val id = context.path().removePrefix(route.pathPrefix)
+        when {
+            id.isEmpty() -> json(context, buildJsonObject { put("pending", front.waitingJobs(route.queue.name)) }.toString())
+            front.isInHand(id) -> state(context, "running")
+            else -> refuse(context, GONE, "no such job")
+        }
+    }
+
+    private fun cancel(context: Context) {
+        val route = routeOf(context) ?: return
+        val id = context.path().removePrefix(route.pathPrefix)
+        if (front.cancel(id)) state(context, "cancelled") else refuse(context, GONE, "no such job")
+    }
+
+    private fun state(context: Context, state: String) = json(context, buildJsonObject { put("state", state) }.toString())
+
+    private fun refuse(context: Context, status: Int, reason: String) {
+        context.status(status)
+        json(context, buildJsonObject { put("error", reason) }.toString())
+    }
+
+    private fun json(context: Context, body: String) {
+        context.contentType("application/json").result(body)
+    }
+
+    private companion object {
+        const val READINESS = "/v1/readiness"
+        const val ANY = "/<path>"
+        const val MAX_BODY_BYTES = 262_144L
+        const val MAX_THREADS = 24
+        const val MIN_THREADS = 4
+        const val IDLE_MS = 60_000L
+        const val DEFAULT_WAIT_MS = 10_000L
+        const val MS_PER_S = 1_000L
+        const val OK = 200
+        const val BAD_REQUEST = 400
+        const val NOT_FOUND = 404
+        const val GONE = 410
+        const val INTERNAL_ERROR = 500
+        const val UNAVAILABLE = 503
+        const val GATEWAY_TIMEOUT = 504
+        val ID = Regex("[0-9a-fA-F]{16}")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformJson.kt
@@ -0,0 +1,49 @@
+/* Lenient access to the platform's JSON bodies: a member that is missing or of another type reads as null. */
+package dandelionpoint.platform
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.doubleOrNull
+import kotlinx.serialization.json.longOrNull
+import okhttp3.MediaType.Companion.toMediaType
+import java.util.Base64
+
+internal val JSON_TYPE = "application/json".toMediaType()
+
+/** The JSON object in [bytes], or null if they are not one. */
+internal fun parseObject(bytes: ByteArray): JsonObject? = try {
+    Json.parseToJsonElement(bytes.decodeToString()) as? JsonObject
+} catch (_: SerializationException) {
+    null
+} catch (_: IllegalArgumentException) {
+    null
+}
+
+internal fun decodeBase64(text: String): ByteArray? = try {
+    Base64.getDecoder().decode(text)
+} catch (_: IllegalArgumentException) {
+    null
+}
+
+internal fun JsonElement.asText(): String? = (this as? JsonPrimitive)?.takeIf { it.isString }?.content
+
+internal fun JsonObject.text(name: String): String? = this[name]?.asText()
+
+internal fun JsonObject.long(name: String): Long? = (this[name] as? JsonPrimitive)?.takeUnless { it.isString }?.let {
+    it.longOrNull ?: it.doubleOrNull?.takeIf { number -> number.isFinite() }?.toLong()
+}
+
+internal fun JsonObject.int(name: String): Int? = long(name)?.takeIf { it in Int.MIN_VALUE..Int.MAX_VALUE }?.toInt()
+
+internal fun JsonObject.double(name: String): Double? = (this[name] as? JsonPrimitive)?.takeUnless { it.isString }?.doubleOrNull
+
+internal fun JsonObject.flag(name: String): Boolean = (this[name] as? JsonPrimitive)?.takeUnless { it.isString }?.booleanOrNull ?: false
+
+internal fun JsonObject.array(name: String): JsonArray = this[name] as? JsonArray ?: JsonArray(emptyList())
+
+internal fun JsonObject.obj(name: String): JsonObject? = this[name] as? JsonObject
--- /dev/null
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformPorts.kt
@@ -0,0 +1,44 @@
+/* Joins the platform's store, documents and workers for an entry VM. */
+package dandelionpoint.platform
+
+import dandelionpoint.fleet.DocumentReader
+import dandelionpoint.fleet.FleetPorts
+import dandelionpoint.fleet.SharedTables
+import dandelionpoint.protocol.fleet.FleetConfiguration
+import dandelionpoint.protocol.fleet.WorkerEntry
+import dandelionpoint.transport.http.CallThreads
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.withContext
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.Socket
+
+private const val MAX_CALLS = 256
+private const val CONNECT_TIMEOUT_MS = 200
+
+private object PlatformDocuments : DocumentReader {
+    override fun worker(id: String, bytes: ByteArray): WorkerEntry? = decodeWorker(id, bytes)
+
+    override fun configuration(bytes: ByteArray): FleetConfiguration? = decodeConfiguration(bytes)
+}
+
+/** The ports of a VM whose store is at [storeAddress] (host:port). */
+internal fun platformPorts(storeAddress: String): FleetPorts {
+    val threads = CallThreads(MAX_CALLS)
+    return FleetPorts(
+        store = PlatformRows(storeAddress, threads),
+        tables = SharedTables(workers = "servers", operator = "op", configurationKey = "config"),
+        documents = PlatformDocuments,
+        workers = PlatformWorkers(threads),
+        canConnect = ::canConnect,
+    )
+}
+
+private suspend fun canConnect(worker: WorkerEntry): Boolean = withContext(Dispatchers.IO) {
+    try {
+        Socket().use { it.connect(InetSocketAddress(worker.host, worker.port), CONNECT_TIMEOUT_MS) }
+        true
+    } catch (_: IOException) {
+        false
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformRows.kt
@@ -0,0 +1,144 @@
+/*
+ * The platform's table store as [SharedRows]. A 503 or 429 has done nothing; a call without a whole response may have been performed.
+ * Keys and values travel as UTF-8 and base64; all rows of this project have an empty part.
+ */
+package dandelionpoint.platform
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import dandelionpoint.protocol.fleet.RowChanges
+import dandelionpoint.protocol.fleet.RowsRead
+import dandelionpoint.protocol.fleet.SharedRow
+import dandelionpoint.protocol.fleet.SharedRows
+import dandelionpoint.protocol.fleet.WriteResult
+import dandelionpoint.protocol.store.StoreError
+import dandelionpoint.transport.http.CallThreads
+import dandelionpoint.transport.http.HttpChannel
+import dandelionpoint.transport.http.HttpChannelSettings
+import dandelionpoint.transport.http.HttpOutcome
+import dandelionpoint.transport.http.OneShotBody
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import okhttp3.HttpUrl
+import okhttp3.HttpUrl.Companion.toHttpUrl
+import okhttp3.Request
+import java.util.Base64
+
+/** Client of the store at [address] (host:port). [timeoutMs] limits a call, without the time it is asked to wait. */
+internal class PlatformRows(address: String, threads: CallThreads, private val timeoutMs: Long = 1_500) : SharedRows {
+    private val base = "http://$address".toHttpUrl()
+    private val channel = HttpChannel(HttpChannelSettings(connectTimeoutMs = 400, keepAliveMs = 30_000), threads)
+
+    override suspend fun read(table: String, from: String, to: String): Either<StoreError, RowsRead> {
+        val rows = mutableListOf<SharedRow>()
+        var next = from
+        while (true) {
+            val page = get("v1/rows-get", timeoutMs) {
+                addQueryParameter("table", table)
+                addQueryParameter("part", "")
+                if (next.isNotEmpty()) addQueryParameter("from", next)
+                if (to.isNotEmpty()) addQueryParameter("to", to)
+            }
+            val body = when (page) {
+                is Either.Left -> return page.value.error.left()
+                is Either.Right -> page.value
+            }
+            val part = rows(body)
+            rows += part
+            if (body.flag("has_more") && part.isNotEmpty()) {
+                next = part.last().key + "\u0000"
+            } else {
+                return RowsRead(rows, body.long("ver") ?: 0L, body.long("now_ms") ?: 0L).right()
+            }
+        }
+    }
+
+    override suspend fun changes(table: String, version: Long, waitMs: Long): Either<StoreError, RowChanges> {
+        val answer = get("v1/rows-feed", timeoutMs + waitMs) {
+            addQueryParameter("table", table)
+            addQueryParameter("after", version.toString())
+            addQueryParameter("wait_ms", waitMs.toString())
+        }
+        return when (answer) {
+            is Either.Left -> if (answer.value.status == GONE) RowChanges.HistoryGone.right() else answer.value.error.left()
+            is Either.Right -> RowChanges.Changed(rows(answer.value), answer.value.long("ver") ?: version).right()
+        }
+    }
+
+    override suspend fun write(table: String, key: String, value: ByteArray?, expected: Long?): Either<StoreError, WriteResult> {
+        val body = transaction(table, key, value, expected).toString().encodeToByteArray()
+        val request = Request.Builder().url(base.newBuilder().addPathSegments("v1/rows-tx").build()).post(OneShotBody(body, JSON_TYPE)).build()
+        return when (val outcome = channel.send(request, timeoutMs)) {
+            is HttpOutcome.NotWritten -> StoreError.NotApplied(outcome.reason).left()
+
+            is HttpOutcome.Lost -> StoreError.OutcomeUnknown(outcome.reason).left()
+
+            is HttpOutcome.Answer -> when (outcome.status) {
+                OK -> parseObject(outcome.body)?.let { WriteResult.Written(it.long("ver") ?: 0L, it.long("now_ms") ?: 0L).right() }
+                    ?: StoreError.OutcomeUnknown("the answer cannot be read").left()
+
+                PRECONDITION_FAILED -> WriteResult.Conflict.right()
+
+                else -> StoreError.NotApplied("status ${outcome.status}").left()
+            }
+        }
+    }
+
+    private fun transaction(table: String, key: String, value: ByteArray?, expected: Long?): JsonObject {
+        val row = buildJsonObject {
+            put("table", table)
+            put("part", "")
+            put("key", key)
+        }
+        val put = value?.let {
+            buildJsonObject {
+                row.forEach { (name, element) -> put(name, element) }
+                put("value", Base64.getEncoder().encodeToString(it))
+            }
+        }
+        val condition = expected?.let {
+            buildJsonObject {
+                row.forEach { (name, element) -> put(name, element) }
+                put("ver", it)
+            }
+        }
+        return buildJsonObject {
+            put("precondition", buildJsonArray { condition?.let { add(it) } })
+            put("puts", buildJsonArray { put?.let { add(it) } })
+            put("remove", buildJsonArray { if (value == null) add(row) })
+        }
+    }
+
+    private class Refused(val error: StoreError, val status: Int? = null)
+
+    private suspend fun get(path: String, timeoutMs: Long, query: HttpUrl.Builder.() -> Unit): Either<Refused, JsonObject> {
+        val url = base.newBuilder().addPathSegments(path).apply(query).build()
+        return when (val outcome = channel.send(Request.Builder().url(url).build(), timeoutMs)) {
+            is HttpOutcome.NotWritten -> Refused(StoreError.NotApplied(outcome.reason)).left()
+
+            is HttpOutcome.Lost -> Refused(StoreError.NotApplied(outcome.reason)).left()
+
+            is HttpOutcome.Answer -> {
+                val body = if (outcome.status == OK) parseObject(outcome.body) else null
+                body?.right() ?: Refused(StoreError.NotApplied("status ${outcome.status}"), outcome.status).left()
+            }
+        }
+    }
+
+    private fun rows(body: JsonObject): List<SharedRow> = body.array("rows").mapNotNull { element ->
+        val row = element as? JsonObject ?: return@mapNotNull null
+        val key = row.text("key") ?: return@mapNotNull null
+        val value = if (row.flag("deleted")) null else row.text("value")?.let { decodeBase64(it) } ?: ByteArray(0)
+        SharedRow(row.text("table").orEmpty(), key, value, row.long("ver") ?: 0L)
+    }
+
+    private companion object {
+        const val OK = 200
+        const val GONE = 410
+        const val PRECONDITION_FAILED = 412
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
@@ -0,0 +1,71 @@
+/* Messages between entry VMs that dispatch to leased workers. */
+package dandelionpoint.protocol.peer
+
+import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.FleetJob
+import dandelionpoint.protocol.fleet.JobOutcome
+import dandelionpoint.protocol.fleet.JobQueue
+import dandelionpoint.protocol.fleet.RunEnd
+import dandelionpoint.protocol.fleet.TaskRun
+import kotlinx.serialization.Serializable
+
+/** Room that is free on one worker of [pool]; [speed] is its speed relative to the average worker. */
+@Serializable
+data class FreeRoom(val pool: String, val free: Demand, val speed: Double)
+
+/** A message between VMs that dispatch to leased workers. */
+@Serializable
+sealed interface FleetMessage : PeerMessage
+
+/** A cell that the sender keeps under [token], with the room that is free on its workers. */
+@Serializable
+data class CellStatus(val cell: String, val token: Long, val rooms: List<FreeRoom> = emptyList())
+
+/** Sent to all peers at a steady interval and after changes of the rooms. [waitingJobs] counts jobs without a started task by queue. */
+@Serializable
+data class FleetBeat(
+    val cells: List<CellStatus> = emptyList(),
+    val isStopping: Boolean = false,
+    val configVersion: Long = 0,
+    val waitingJobs: Map<String, Int> = emptyMap(),
+) : FleetMessage
+
+/** A job for the keeper of a cell, which runs it and replies with [JobAnswer]. The client waits for [remainingMs] more. */
+@Serializable
+data class JobOffer(val job: FleetJob, val queue: JobQueue, val ageMs: Long, val remainingMs: Long) : FleetMessage
+
+/** Reply to [JobOffer]. Without [outcome] the receiver is stopping and has not taken the job. */
+@Serializable
+data class JobAnswer(val outcome: JobOutcome? = null) : FleetMessage
+
+/** The client of a job has gone, or its deadline has passed. */
+@Serializable
+data class JobCancel(val jobId: String) : FleetMessage
+
+/** A run that another VM's cell is asked to start at once; the reply, [RunAnswer], comes when it has ended. */
+@Serializable
+data class RunLoan(
+    val cell: String,
+    val run: TaskRun,
+    val payload: String,
+    val pool: String,
+    val demand: Demand,
+    val estimateMs: Long,
+    val requiredLabel: String? = null,
+) : FleetMessage
+
+/** Reply to [RunLoan]. */
+@Serializable
+data class RunAnswer(val end: RunEnd) : FleetMessage
+
+/** The job of a lent run has ended; the run is stopped. */
+@Serializable
+data class RunCancel(val run: TaskRun) : FleetMessage
+
+/** Asks the receiver to take over [cell], because the sender stops. */
+@Serializable
+data class CellHandover(val cell: String) : FleetMessage
+
+/** The sender has no more runs on these workers of [cell] and leaves them to the receiver. */
+@Serializable
+data class WorkersReleased(val cell: String, val workerIds: Set<String>) : FleetMessage
--- a/src/main/kotlin/dandelionpoint/protocol/platform/PlatformApi.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/store/PlatformApi.kt
@@ -1,5 +1,5 @@
 /* Paths and headers of the platform's HTTP interface, shared by the clients and the stand-in. */
-package dandelionpoint.protocol.platform
+package dandelionpoint.protocol.store
 
 /** Paths and headers of the platform's HTTP interface. */
 object PlatformApi {
--- a/src/main/kotlin/dandelionpoint/protocol/platform/PlatformDirectory.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/store/PlatformDirectory.kt
@@ -1,5 +1,5 @@
 /* The platform's lists of VMs and workers. Both lag behind the truth. */
-package dandelionpoint.protocol.platform
+package dandelionpoint.protocol.store
 
 import arrow.core.Either
 import kotlinx.serialization.Serializable
--- a/src/main/kotlin/dandelionpoint/protocol/platform/Table.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/store/Table.kt
@@ -1,5 +1,5 @@
 /* The platform's transactional table service and object store, as the dispatcher uses them. */
-package dandelionpoint.protocol.platform
+package dandelionpoint.protocol.store
 
 import arrow.core.Either
 import kotlinx.serialization.Serializable
--- a/src/main/kotlin/dandelionpoint/settings/SettingsReader.kt
+++ b/src/main/kotlin/dandelionpoint/settings/SettingsReader.kt
@@ -38,6 +38,11 @@
     /** Reads entry settings from [text]; [file] is the name for messages. */
     fun readEntry(file: String, text: String): Checked<EntrySettings> = read(file, text) { it.entrySettings() }
 
+    /** Reads the settings of an entry VM for leased workers from [file]. */
+    fun readFleet(file: Path): Checked<FleetSettings> = readFile(file, ::readFleet)
+
+    fun readFleet(file: String, text: String): Checked<FleetSettings> = read(file, text) { it.fleetSettings() }
+
     /** Reads presets and team quotas from [file]. */
     fun readPresets(file: Path): Checked<PresetDocument> = readFile(file, ::readPresets)
 
--- a/src/main/kotlin/dandelionpoint/standin/platform/Lagging.kt
+++ b/src/main/kotlin/dandelionpoint/standin/store/Lagging.kt
@@ -1,5 +1,5 @@
 /* A value that is shown with a lag. */
-package dandelionpoint.standin.platform
+package dandelionpoint.standin.store
 
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.millis
--- a/src/main/kotlin/dandelionpoint/standin/platform/LimitedStore.kt
+++ b/src/main/kotlin/dandelionpoint/standin/store/LimitedStore.kt
@@ -1,12 +1,12 @@
 /* A store of the platform stand-in with its rate limits and counters. */
-package dandelionpoint.standin.platform
+package dandelionpoint.standin.store
 
 import dandelionpoint.protocol.Clock
-import dandelionpoint.protocol.platform.PlatformApi
-import dandelionpoint.protocol.platform.Row
-import dandelionpoint.protocol.platform.ScanPage
-import dandelionpoint.protocol.platform.Transaction
-import dandelionpoint.protocol.platform.TransactionResult
+import dandelionpoint.protocol.store.PlatformApi
+import dandelionpoint.protocol.store.Row
+import dandelionpoint.protocol.store.ScanPage
+import dandelionpoint.protocol.store.Transaction
+import dandelionpoint.protocol.store.TransactionResult
 import java.util.concurrent.ConcurrentHashMap
 
 /** Rate limits and counters of one store. */
--- a/src/main/kotlin/dandelionpoint/standin/platform/MemoryTable.kt
+++ b/src/main/kotlin/dandelionpoint/standin/store/MemoryTable.kt
@@ -1,10 +1,10 @@
 /* The rows of the platform stand-in, in memory. */
-package dandelionpoint.standin.platform
+package dandelionpoint.standin.store
 
-import dandelionpoint.protocol.platform.Row
-import dandelionpoint.protocol.platform.ScanPage
-import dandelionpoint.protocol.platform.Transaction
-import dandelionpoint.protocol.platform.TransactionResult
+import dandelionpoint.protocol.store.Row
+import dandelionpoint.protocol.store.ScanPage
+import dandelionpoint.protocol.store.Transaction
+import dandelionpoint.protocol.store.TransactionResult
 import java.util.TreeMap
 
 /** A table whose transactions are applied whole or not at all, under one lock. */
--- a/src/main/kotlin/dandelionpoint/standin/platform/PlatformGate.kt
+++ b/src/main/kotlin/dandelionpoint/standin/store/PlatformGate.kt
@@ -1,7 +1,7 @@
 /* What a call to the platform stand-in passes before its effect and its answer: faults, rate limits, latency. */
-package dandelionpoint.standin.platform
+package dandelionpoint.standin.store
 
-import dandelionpoint.protocol.platform.PlatformApi
+import dandelionpoint.protocol.store.PlatformApi
 import dandelionpoint.standin.http.closeConnection
 import io.javalin.http.Context
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest
--- a/src/main/kotlin/dandelionpoint/standin/platform/PlatformRegistration.kt
+++ b/src/main/kotlin/dandelionpoint/standin/store/PlatformRegistration.kt
@@ -1,9 +1,9 @@
 /* Registers VMs with the platform stand-in and reports the usage of workers to it. */
-package dandelionpoint.standin.platform
+package dandelionpoint.standin.store
 
-import dandelionpoint.protocol.platform.PlatformApi
-import dandelionpoint.protocol.platform.VmEntry
-import dandelionpoint.protocol.platform.WorkerUsage
+import dandelionpoint.protocol.store.PlatformApi
+import dandelionpoint.protocol.store.VmEntry
+import dandelionpoint.protocol.store.WorkerUsage
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
--- a/src/main/kotlin/dandelionpoint/standin/platform/PlatformSettings.kt
+++ b/src/main/kotlin/dandelionpoint/standin/store/PlatformSettings.kt
@@ -1,5 +1,5 @@
 /* Settings and fault switches of the platform stand-in. */
-package dandelionpoint.standin.platform
+package dandelionpoint.standin.store
 
 import kotlinx.serialization.Serializable
 
--- a/src/main/kotlin/dandelionpoint/standin/platform/PlatformStandIn.kt
+++ b/src/main/kotlin/dandelionpoint/standin/store/PlatformStandIn.kt
@@ -3,14 +3,14 @@
  * the platform's interface pass through [PlatformGate], which applies faults, rate limits and latency. The calls that exist only in the
  * stand-in (`PUT /vms/{id}`, `POST /vms/{id}/state`, `PUT /workers`, `/faults`, `/stats`) do not.
  */
-package dandelionpoint.standin.platform
+package dandelionpoint.standin.store
 
 import dandelionpoint.protocol.Clock
-import dandelionpoint.protocol.platform.PlatformApi
-import dandelionpoint.protocol.platform.Transaction
-import dandelionpoint.protocol.platform.VmEntry
-import dandelionpoint.protocol.platform.VmState
-import dandelionpoint.protocol.platform.WorkerUsage
+import dandelionpoint.protocol.store.PlatformApi
+import dandelionpoint.protocol.store.Transaction
+import dandelionpoint.protocol.store.VmEntry
+import dandelionpoint.protocol.store.VmState
+import dandelionpoint.protocol.store.WorkerUsage
 import io.javalin.Javalin
 import io.javalin.config.JavalinConfig
 import io.javalin.config.RoutesConfig
--- a/src/main/kotlin/dandelionpoint/standin/platform/PlatformStats.kt
+++ b/src/main/kotlin/dandelionpoint/standin/store/PlatformStats.kt
@@ -1,5 +1,5 @@
 /* Counts of what the platform stand-in was asked for. */
-package dandelionpoint.standin.platform
+package dandelionpoint.standin.store
 
 import kotlinx.serialization.Serializable
 import java.util.concurrent.ConcurrentHashMap
--- a/src/main/kotlin/dandelionpoint/standin/platform/RateLimit.kt
+++ b/src/main/kotlin/dandelionpoint/standin/store/RateLimit.kt
@@ -1,5 +1,5 @@
 /* Rate limit of the stand-in's stores. */
-package dandelionpoint.standin.platform
+package dandelionpoint.standin.store
 
 import dandelionpoint.protocol.Clock
 
--- a/src/main/kotlin/dandelionpoint/standin/upstream/UpstreamStandIn.kt
+++ b/src/main/kotlin/dandelionpoint/standin/upstream/UpstreamStandIn.kt
@@ -4,10 +4,10 @@
  */
 package dandelionpoint.standin.upstream
 
-import dandelionpoint.protocol.platform.VmEntry
-import dandelionpoint.protocol.platform.VmRole
-import dandelionpoint.protocol.platform.WorkerUsage
-import dandelionpoint.standin.platform.PlatformRegistration
+import dandelionpoint.protocol.store.VmEntry
+import dandelionpoint.protocol.store.VmRole
+import dandelionpoint.protocol.store.WorkerUsage
+import dandelionpoint.standin.store.PlatformRegistration
 import io.javalin.Javalin
 import io.javalin.config.JavalinConfig
 import kotlinx.serialization.SerializationException
--- a/src/main/kotlin/dandelionpoint/standin/upstream/WorkerServer.kt
+++ b/src/main/kotlin/dandelionpoint/standin/upstream/WorkerServer.kt
@@ -1,7 +1,7 @@
 /* The HTTP side of the upstream's workers: one Jetty server with a connector for each worker. */
 package dandelionpoint.standin.upstream
 
-import dandelionpoint.protocol.platform.PlatformApi
+import dandelionpoint.protocol.store.PlatformApi
 import dandelionpoint.standin.http.closeConnection
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
--- a/src/main/kotlin/dandelionpoint/state/worker/WorkerRecord.kt
+++ b/src/main/kotlin/dandelionpoint/state/worker/WorkerRecord.kt
@@ -2,9 +2,9 @@
 package dandelionpoint.state.worker
 
 import dandelionpoint.protocol.peer.VmIdentity
-import dandelionpoint.protocol.platform.VmEntry
-import dandelionpoint.protocol.platform.VmState
-import dandelionpoint.protocol.platform.WorkerUsage
+import dandelionpoint.protocol.store.VmEntry
+import dandelionpoint.protocol.store.VmState
+import dandelionpoint.protocol.store.WorkerUsage
 import dandelionpoint.protocol.worker.WorkerAddress
 
 /** A worker and the slots of it that this VM holds. Guarded by the lock of its shard. */
--- a/src/main/kotlin/dandelionpoint/state/worker/WorkerTable.kt
+++ b/src/main/kotlin/dandelionpoint/state/worker/WorkerTable.kt
@@ -1,8 +1,8 @@
 /* The worker table: all workers of the platform's list, in shards by id. */
 package dandelionpoint.state.worker
 
-import dandelionpoint.protocol.platform.VmEntry
-import dandelionpoint.protocol.platform.VmRole
+import dandelionpoint.protocol.store.VmEntry
+import dandelionpoint.protocol.store.VmRole
 
 /** Workers in shards, each under its own lock. */
 internal class WorkerTable(private val settings: HealthSettings, shardCount: Int = SHARDS) {
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -51,6 +51,7 @@
     private val dialers = ConcurrentHashMap<PeerAddress, Job>()
     private val connections = ConcurrentHashMap<VmIdentity, PeerConnection>()
     private val inbound = AtomicInteger()
+    private val accepted = ConcurrentHashMap.newKeySet<PeerConnection>()
     private lateinit var server: ServerSocket
     private lateinit var local: PeerLocal
 
@@ -80,12 +81,14 @@
         try {
             connection.handshake().forEach { connect(PeerAddress(it.host, it.port)) }
             connect(PeerAddress(connection.remote.host, connection.remote.port))
+            accepted += connection
             connection.serve(scope)
         } catch (e: CancellationException) {
             if (!scope.isActive) throw e
         } catch (e: Exception) {
             logEnd("inbound", e)
         } finally {
+            accepted -= connection
             inbound.decrementAndGet()
             connection.close()
         }
@@ -155,6 +158,12 @@
         connections[to]?.send(message)
     }
 
+    /** Closes the connections with [vm] in both directions, so that nothing that was sent over them arrives later. */
+    fun drop(vm: VmIdentity) {
+        connections[vm]?.close()
+        accepted.filter { it.remote == vm }.forEach { it.close() }
+    }
+
     /** Peers with an open connection. */
     fun connected(): Set<VmIdentity> = connections.keys.toSet()
 
--- a/src/main/kotlin/dandelionpoint/transport/platform/HttpObjectStore.kt
+++ b/src/main/kotlin/dandelionpoint/transport/store/HttpObjectStore.kt
@@ -1,10 +1,10 @@
 /* Client of the platform's object store. */
-package dandelionpoint.transport.platform
+package dandelionpoint.transport.store
 
 import arrow.core.Either
-import dandelionpoint.protocol.platform.ObjectStore
-import dandelionpoint.protocol.platform.PlatformApi
-import dandelionpoint.protocol.platform.StoreError
+import dandelionpoint.protocol.store.ObjectStore
+import dandelionpoint.protocol.store.PlatformApi
+import dandelionpoint.protocol.store.StoreError
 
 /** [ObjectStore] over HTTP. Sends each call once; a put with an unknown outcome can be repeated, since objects never change. */
 class HttpObjectStore(private val client: PlatformClient) : ObjectStore {
--- a/src/main/kotlin/dandelionpoint/transport/platform/HttpPlatformDirectory.kt
+++ b/src/main/kotlin/dandelionpoint/transport/store/HttpPlatformDirectory.kt
@@ -1,13 +1,13 @@
 /* Client of the platform's lists of VMs and workers. */
-package dandelionpoint.transport.platform
+package dandelionpoint.transport.store
 
 import arrow.core.Either
 import arrow.core.flatMap
-import dandelionpoint.protocol.platform.PlatformApi
-import dandelionpoint.protocol.platform.PlatformDirectory
-import dandelionpoint.protocol.platform.StoreError
-import dandelionpoint.protocol.platform.VmEntry
-import dandelionpoint.protocol.platform.WorkerUsage
+import dandelionpoint.protocol.store.PlatformApi
+import dandelionpoint.protocol.store.PlatformDirectory
+import dandelionpoint.protocol.store.StoreError
+import dandelionpoint.protocol.store.VmEntry
+import dandelionpoint.protocol.store.WorkerUsage
 
 /** [PlatformDirectory] over HTTP. */
 class HttpPlatformDirectory(private val client: PlatformClient) : PlatformDirectory {
--- a/src/main/kotlin/dandelionpoint/transport/platform/HttpTable.kt
+++ b/src/main/kotlin/dandelionpoint/transport/store/HttpTable.kt
@@ -1,15 +1,15 @@
 /* Client of the platform's table service. */
-package dandelionpoint.transport.platform
+package dandelionpoint.transport.store
 
 import arrow.core.Either
 import arrow.core.flatMap
-import dandelionpoint.protocol.platform.PlatformApi
-import dandelionpoint.protocol.platform.Row
-import dandelionpoint.protocol.platform.ScanPage
-import dandelionpoint.protocol.platform.StoreError
-import dandelionpoint.protocol.platform.Table
-import dandelionpoint.protocol.platform.Transaction
-import dandelionpoint.protocol.platform.TransactionResult
+import dandelionpoint.protocol.store.PlatformApi
+import dandelionpoint.protocol.store.Row
+import dandelionpoint.protocol.store.ScanPage
+import dandelionpoint.protocol.store.StoreError
+import dandelionpoint.protocol.store.Table
+import dandelionpoint.protocol.store.Transaction
+import dandelionpoint.protocol.store.TransactionResult
 import kotlinx.serialization.encodeToString
 
 /** [Table] over HTTP. Sends each call once. */
--- a/src/main/kotlin/dandelionpoint/transport/platform/PlatformClient.kt
+++ b/src/main/kotlin/dandelionpoint/transport/store/PlatformClient.kt
@@ -1,11 +1,11 @@
 /* The common part of the platform's HTTP clients: settings, requests, and the line between "not applied" and "unknown". */
-package dandelionpoint.transport.platform
+package dandelionpoint.transport.store
 
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import dandelionpoint.protocol.platform.PlatformApi
-import dandelionpoint.protocol.platform.StoreError
+import dandelionpoint.protocol.store.PlatformApi
+import dandelionpoint.protocol.store.StoreError
 import dandelionpoint.transport.http.CallThreads
 import dandelionpoint.transport.http.HttpChannel
 import dandelionpoint.transport.http.HttpChannelSettings
--- a/src/main/kotlin/dandelionpoint/transport/worker/HttpWorkerClient.kt
+++ b/src/main/kotlin/dandelionpoint/transport/worker/HttpWorkerClient.kt
@@ -4,7 +4,7 @@
  */
 package dandelionpoint.transport.worker
 
-import dandelionpoint.protocol.platform.PlatformApi
+import dandelionpoint.protocol.store.PlatformApi
 import dandelionpoint.protocol.worker.CallOutcome
 import dandelionpoint.protocol.worker.WorkerAddress
 import dandelionpoint.protocol.worker.WorkerCall
--- a/src/test/kotlin/dandelionpoint/coordination/configuration/FakeTable.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/configuration/FakeTable.kt
@@ -3,12 +3,12 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import dandelionpoint.protocol.platform.Row
-import dandelionpoint.protocol.platform.ScanPage
-import dandelionpoint.protocol.platform.StoreError
-import dandelionpoint.protocol.platform.Table
-import dandelionpoint.protocol.platform.Transaction
-import dandelionpoint.protocol.platform.TransactionResult
+import dandelionpoint.protocol.store.Row
+import dandelionpoint.protocol.store.ScanPage
+import dandelionpoint.protocol.store.StoreError
+import dandelionpoint.protocol.store.Table
+import dandelionpoint.protocol.store.Transaction
+import dandelionpoint.protocol.store.TransactionResult
 
 /** What happens to the next write. */
 internal enum class WriteFault { LOST_AFTER_EFFECT, LOST_BEFORE_EFFECT, DELAYED, REFUSED }
--- a/src/test/kotlin/dandelionpoint/coordination/placement/SlotLeasePlacementTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/placement/SlotLeasePlacementTest.kt
@@ -1,6 +1,6 @@
 package dandelionpoint.coordination.placement
 
-import dandelionpoint.protocol.platform.VmState
+import dandelionpoint.protocol.store.VmState
 import dandelionpoint.protocol.worker.CallOutcome
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeIn
--- a/src/test/kotlin/dandelionpoint/coordination/placement/VirtualCluster.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/placement/VirtualCluster.kt
@@ -4,9 +4,9 @@
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.ServingState
 import dandelionpoint.protocol.peer.VmIdentity
-import dandelionpoint.protocol.platform.VmEntry
-import dandelionpoint.protocol.platform.VmRole
-import dandelionpoint.protocol.platform.WorkerUsage
+import dandelionpoint.protocol.store.VmEntry
+import dandelionpoint.protocol.store.VmRole
+import dandelionpoint.protocol.store.WorkerUsage
 import dandelionpoint.protocol.worker.CallOutcome
 import java.util.PriorityQueue
 import kotlin.random.Random
--- a/src/test/kotlin/dandelionpoint/endtoend/TestCluster.kt
+++ b/src/test/kotlin/dandelionpoint/endtoend/TestCluster.kt
@@ -1,8 +1,8 @@
 /* A small installation of real processes: one platform, one upstream and three entry VMs on free loopback ports. */
 package dandelionpoint.endtoend
 
-import dandelionpoint.protocol.platform.VmEntry
-import dandelionpoint.protocol.platform.VmState
+import dandelionpoint.protocol.store.VmEntry
+import dandelionpoint.protocol.store.VmState
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.matchers.shouldBe
 import kotlinx.serialization.json.JsonObject
--- a/src/test/kotlin/dandelionpoint/standin/platform/ManualClock.kt
+++ b/src/test/kotlin/dandelionpoint/standin/store/ManualClock.kt
@@ -1,4 +1,4 @@
-package dandelionpoint.standin.platform
+package dandelionpoint.standin.store
 
 import dandelionpoint.protocol.Clock
 import java.util.concurrent.atomic.AtomicLong
