Start entry VMs with a class data archive, recorded by a fleet demo

Change: stand-ins of store and workers in memory, a fleet-demo command on them, and an archive of the classes that it loads, made by the deploy build.

--- /dev/null
+++ b/src/main/kotlin/dandelionpoint/cli/FleetDemoCommand.kt
@@ -0,0 +1,77 @@
+package dandelionpoint.cli
+
+import dandelionpoint.fleet.FleetVm
+import dandelionpoint.platform.ListenAddress
+import dandelionpoint.platform.PlatformClients
+import dandelionpoint.platform.platformPorts
+import dandelionpoint.standin.fleet.FleetTrial
+import dandelionpoint.transport.http.CallThreads
+import dandelionpoint.transport.http.HttpChannel
+import dandelionpoint.transport.http.HttpChannelSettings
+import dandelionpoint.transport.http.HttpOutcome
+import dandelionpoint.transport.http.OneShotBody
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.Request
+import picocli.CommandLine.Command
+import java.util.concurrent.Callable
+
+/**
+ * Runs a small fleet in this process and sends it jobs. The deploy build runs it too, to record the classes that an entry VM loads.
+ */
+@Command(
+    name = "fleet-demo",
+    description = ["Runs two entry VMs with stand-ins of store and workers, and submits jobs to them."],
+    mixinStandardHelpOptions = true,
+)
+internal class FleetDemoCommand : Callable<Int> {
+    private val threads = CallThreads(maxCalls = 16)
+    private val channel = HttpChannel(HttpChannelSettings(), threads)
+
+    override fun call(): Int = runBlocking {
+        val trial = FleetTrial()
+        val vms = listOf(trial.vm("demo-1", "akl-a"), trial.vm("demo-2", "ham-a"))
+        vms.forEach { it.start() }
+        val clients = vms.map { PlatformClients(it, it.scope, ListenAddress(FleetTrial.LOOPBACK, 0), readiness = null) }
+        val ports = clients.map { it.start() }
+        awaitReady(vms)
+        val statuses = List(JOBS) { index -> submit(ports[index % ports.size], "%016x".format(index + 1)) }
+        reachNobody()
+        println("jobs: ${statuses.size}, completed: ${statuses.count { it == OK }}, starts on workers: ${trial.workers.starts().size}")
+        vms.forEach { it.close() }
+        clients.forEach { it.stop() }
+        threads.close()
+        if (statuses.all { it == OK }) ExitCode.OK else ExitCode.REFUSED
+    }
+
+    private suspend fun awaitReady(vms: List<FleetVm>) = withTimeoutOrNull(READY_TIMEOUT_MS) {
+        while (!vms.all { vm -> vm.isReady && vm.keepers().isNotEmpty() }) delay(POLL_MS)
+    }
+
+    private suspend fun submit(port: Int, id: String): Int {
+        val body = """{"spec":"demo","best_effort":true,"steps":[{"count":4,"cpu":1000,"mem_mb":64,"est_runtime_ms":60}]}"""
+        val request = Request
+            .Builder()
+            .url("http://${FleetTrial.LOOPBACK}:$port${FleetTrial.PREFIX}$id")
+            .header("Host", FleetTrial.HOST)
+            .header("Deadline-Remaining-Ms", "3000")
+            .post(OneShotBody(body.encodeToByteArray(), "application/json".toMediaType()))
+            .build()
+        return (channel.send(request, REQUEST_TIMEOUT_MS) as? HttpOutcome.Answer)?.status ?: 0
+    }
+
+    /** Calls a store that is not there, as a VM does that starts in an outage. */
+    private suspend fun reachNobody() {
+        platformPorts("${FleetTrial.LOOPBACK}:1").store.read("cells")
+    }
+
+    private companion object {
+        const val JOBS = 12
+        const val OK = 200
+        const val POLL_MS = 20L
+        const val READY_TIMEOUT_MS = 10_000L
+        const val REQUEST_TIMEOUT_MS = 5_000L
+    }
+}
--- a/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
@@ -67,8 +67,10 @@
     /** Looks for clients that have gone away. */
     fun poll() = watch.poll()
 
-    fun start() {
+    /** Binds and serves; port 0 takes any free one. Returns the clients' port. */
+    fun start(): Int {
         server.start()
+        return server.jettyServer().server().connectors.filterIsInstance<ServerConnector>().last().localPort
     }
 
     fun stop() {
--- /dev/null
+++ b/src/main/kotlin/dandelionpoint/standin/fleet/FleetTrial.kt
@@ -0,0 +1,78 @@
+/* Two entry VMs with stand-ins of the shared store and of workers, in one process on loopback. */
+package dandelionpoint.standin.fleet
+
+import dandelionpoint.fleet.DocumentReader
+import dandelionpoint.fleet.FleetPorts
+import dandelionpoint.fleet.FleetVm
+import dandelionpoint.fleet.SharedTables
+import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.FleetConfiguration
+import dandelionpoint.protocol.fleet.JobQueue
+import dandelionpoint.protocol.fleet.QueueRoute
+import dandelionpoint.protocol.fleet.WorkerEntry
+import dandelionpoint.settings.FleetSettings
+import dandelionpoint.settings.HostAndPort
+
+/** A small fleet: [workersEach] workers in each data centre of [dataCentres]. */
+internal class FleetTrial(
+    private val dataCentres: List<String> = listOf("akl-a", "ham-a"),
+    private val workersEach: Int = 3,
+    val workers: MemoryWorkers = MemoryWorkers(),
+    val store: MemoryRows = MemoryRows(),
+) {
+    /** Queue of the trial's jobs. */
+    val queue = JobQueue(name = "lookups", pool = POOL, maxAttempts = 2, stretch = 2.0, latencyTargetMs = 400)
+
+    private val entries = dataCentres.flatMap { dataCentre ->
+        List(workersEach) { index ->
+            val id = "$dataCentre-worker-$index"
+            WorkerEntry(id, POOL, LOOPBACK, 1, dataCentre, isDraining = false, capacity = Demand(2_000, 4_096), bornMs = 1)
+        }
+    }.associateBy { it.id }
+
+    private val documents = object : DocumentReader {
+        override fun worker(id: String, bytes: ByteArray): WorkerEntry? =
+            entries[id]?.let { if (bytes.decodeToString() == DRAINING) it.copy(isDraining = true) else it }
+
+        override fun configuration(bytes: ByteArray): FleetConfiguration? = bytes.decodeToString().toLongOrNull()?.let {
+            FleetConfiguration(it, listOf(QueueRoute(HOST, PREFIX, queue)), bytes.decodeToString())
+        }
+    }
+
+    private val tables = SharedTables(workers = "workers", operator = "operator", configurationKey = "configuration")
+
+    init {
+        entries.values.forEach { entry ->
+            workers.add(entry)
+            store.put(tables.workers, entry.id, READY.encodeToByteArray())
+        }
+        store.put(tables.operator, tables.configurationKey, "1".encodeToByteArray())
+    }
+
+    /** A VM of [dataCentre] that is not started yet. */
+    fun vm(name: String, dataCentre: String): FleetVm {
+        val settings = FleetSettings(
+            name = name,
+            region = "trial",
+            dataCentre = dataCentre,
+            clients = HostAndPort(LOOPBACK, 0),
+            readiness = null,
+            peers = HostAndPort(LOOPBACK, 0),
+            seedPeers = emptyList(),
+            store = HostAndPort(LOOPBACK, 1),
+        )
+        return FleetVm(settings, FleetPorts(store, tables, documents, workers, canConnect = { true }))
+    }
+
+    /** Shows the worker [id] as draining. */
+    fun drainWorker(id: String) = store.put(tables.workers, id, DRAINING.encodeToByteArray())
+
+    companion object {
+        const val LOOPBACK = "127.0.0.1"
+        const val HOST = "trial.example"
+        const val PREFIX = "/lookups/"
+        private const val POOL = "trial-pool"
+        private const val READY = "ready"
+        private const val DRAINING = "draining"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dandelionpoint/standin/fleet/MemoryWorkers.kt
@@ -0,0 +1,172 @@
+/*
+ * Stand-in of leased workers, in memory: room, fencing, leases, numbered ends, and switches for faults. All runs of a worker end when its
+ * lease expires. A worker does nothing for a token below the highest that it has seen.
+ */
+package dandelionpoint.standin.fleet
+
+import dandelionpoint.protocol.Clock
+import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.EndedRow
+import dandelionpoint.protocol.fleet.LeaseCall
+import dandelionpoint.protocol.fleet.LeaseOutcome
+import dandelionpoint.protocol.fleet.LeaseReport
+import dandelionpoint.protocol.fleet.RunEnd
+import dandelionpoint.protocol.fleet.RunningRow
+import dandelionpoint.protocol.fleet.StartOrder
+import dandelionpoint.protocol.fleet.StartOutcome
+import dandelionpoint.protocol.fleet.StartRefusal
+import dandelionpoint.protocol.fleet.TaskRef
+import dandelionpoint.protocol.fleet.TaskRun
+import dandelionpoint.protocol.fleet.WorkerEntry
+import dandelionpoint.protocol.fleet.WorkerPort
+import dandelionpoint.protocol.millis
+import kotlinx.coroutines.delay
+
+/** Faults of one worker. */
+internal enum class WorkerFault {
+    NONE,
+
+    /** Each run fails at once. */
+    FAILS,
+
+    /** Runs make no progress. */
+    HANGS,
+
+    /** Calls get no answer and have no effect. */
+    MUTE,
+
+    /** Starts have their effect, but their answer is lost. */
+    LOSES_ANSWERS,
+}
+
+/** One start, for the audit of a test. [endedAt] is null while the run goes on. */
+internal class StartRecord(val run: TaskRun, val workerId: String, val startedAt: Long, var endedAt: Long? = null)
+
+/** All workers. [runMs] is the run time of a task, [requestedMemory] is not checked. */
+internal class MemoryWorkers(
+    private val clock: Clock = Clock.System,
+    private val demandOf: (TaskRef) -> Demand = { Demand(1_000) },
+    private val runMs: (TaskRef) -> Long = { DEFAULT_RUN_MS },
+) : WorkerPort {
+    private class Running(val run: TaskRun, val demand: Demand, val record: StartRecord, val totalMs: Long)
+
+    private inner class Worker(val entry: WorkerEntry) {
+        val running = LinkedHashMap<TaskRef, Running>()
+        val ended = mutableListOf<EndedRow>()
+        val highestEnded = HashMap<TaskRef, Int>()
+        var token = 0L
+        var leaseUntil = 0L
+        var lastEnd = 0L
+
+        fun end(running: Running, how: RunEnd) {
+            this.running.remove(running.run.task)
+            highestEnded[running.run.task] = running.run.run
+            running.record.endedAt = clock.millis()
+            ended += EndedRow(++lastEnd, running.run, how)
+        }
+    }
+
+    private val lock = Any()
+    private val workers = HashMap<String, Worker>()
+    private val faults = HashMap<String, WorkerFault>()
+    private val starts = mutableListOf<StartRecord>()
+
+    /** Adds a worker. */
+    fun add(entry: WorkerEntry) = synchronized(lock) { workers[entry.id] = Worker(entry) }
+
+    fun setFault(id: String, fault: WorkerFault) = synchronized(lock) { faults[id] = fault }
+
+    /** Every start so far. */
+    fun starts(): List<StartRecord> = synchronized(lock) {
+        workers.values.forEach { advance(it) }
+        starts.toList()
+    }
+
+    private fun fault(id: String) = faults[id] ?: WorkerFault.NONE
+
+    /** Ends what has ended by now. */
+    private fun advance(worker: Worker) {
+        val now = clock.millis()
+        if (worker.running.isNotEmpty() && now > worker.leaseUntil) {
+            worker.running.values.toList().forEach { worker.end(it, RunEnd.LOST) }
+        }
+        if (fault(worker.entry.id) == WorkerFault.HANGS) return
+        worker.running.values.filter { now >= it.record.startedAt + it.totalMs }.forEach { worker.end(it, RunEnd.DONE) }
+    }
+
+    override suspend fun start(worker: WorkerEntry, order: StartOrder, timeoutMs: Long): StartOutcome {
+        if (synchronized(lock) { fault(worker.id) } == WorkerFault.MUTE) {
+            delay(timeoutMs)
+            return StartOutcome.Unknown("mute")
+        }
+        val outcome = synchronized(lock) { startNow(workers.getValue(worker.id), order) }
+        return if (synchronized(lock) { fault(worker.id) } == WorkerFault.LOSES_ANSWERS) StartOutcome.Unknown("lost") else outcome
+    }
+
+    private fun startNow(worker: Worker, order: StartOrder): StartOutcome {
+        advance(worker)
+        val now = clock.millis()
+        val task = order.run.task
+        val used = worker.running.values.fold(Demand(0)) { sum, running -> sum + running.demand }
+        val refusal = when {
+            order.token < worker.token -> StartRefusal.FENCED
+            order.leaseUntilMs <= now -> StartRefusal.LATE
+            worker.running[task]?.run == order.run -> return StartOutcome.Started(now)
+            order.run.run <= (worker.highestEnded[task] ?: 0) -> StartRefusal.OUTDATED_RUN
+            !(worker.entry.capacity - used).covers(demandOf(task)) -> StartRefusal.NO_ROOM
+            else -> null
+        }
+        if (refusal != null) return StartOutcome.Refused(refusal)
+        worker.token = order.token
+        worker.leaseUntil = maxOf(worker.leaseUntil, order.leaseUntilMs)
+        val record = StartRecord(order.run, worker.entry.id, now)
+        starts += record
+        val running = Running(order.run, demandOf(task), record, runMs(task))
+        worker.running[task] = running
+        if (fault(worker.entry.id) == WorkerFault.FAILS) worker.end(running, RunEnd.FAILED)
+        return StartOutcome.Started(now)
+    }
+
+    override suspend fun stop(worker: WorkerEntry, run: TaskRun, token: Long, timeoutMs: Long): Boolean = synchronized(lock) {
+        val target = workers.getValue(worker.id)
+        if (fault(worker.id) == WorkerFault.MUTE || token < target.token) return@synchronized false
+        advance(target)
+        target.token = token
+        val running = target.running[run.task]?.takeIf { it.run == run }
+        if (running != null) target.end(running, RunEnd.LOST)
+        target.highestEnded.merge(run.task, run.run, ::maxOf)
+        true
+    }
+
+    override suspend fun lease(worker: WorkerEntry, call: LeaseCall, timeoutMs: Long): LeaseOutcome {
+        val until = clock.millis() + call.waitMs
+        while (true) {
+            if (synchronized(lock) { fault(worker.id) } == WorkerFault.MUTE) {
+                delay(timeoutMs)
+                return LeaseOutcome.NoAnswer("mute")
+            }
+            synchronized(lock) { report(workers.getValue(worker.id), call, until) }?.let { return it }
+            delay(POLL_MS)
+        }
+    }
+
+    private fun report(worker: Worker, call: LeaseCall, until: Long): LeaseOutcome? {
+        if (call.token < worker.token) return LeaseOutcome.Fenced
+        worker.token = call.token
+        advance(worker)
+        call.leaseUntilMs?.let { worker.leaseUntil = maxOf(worker.leaseUntil, it) }
+        worker.ended.removeAll { it.number <= call.seenEnd }
+        if (worker.ended.isEmpty() && clock.millis() < until) return null
+        val now = clock.millis()
+        val running = worker.running.values.map {
+            val percent = if (fault(worker.entry.id) == WorkerFault.HANGS) 0 else (now - it.record.startedAt) * 100 / it.totalMs
+            RunningRow(it.run, percent.toInt())
+        }
+        return LeaseOutcome.Answered(LeaseReport(now, worker.entry.bornMs, running, worker.ended.toList()))
+    }
+
+    private companion object {
+        const val DEFAULT_RUN_MS = 60L
+        const val POLL_MS = 2L
+    }
+}
