Look at a worker's runs at once after an unanswered order, and send smaller beats

VMs without a cell refused with 'no worker usable' while keepers were taking over. Ruled out: ejections (3 failing workers of 48), admission of too much (waiting jobs below 20). Change: a list of runs is asked for 150 ms after an unanswered order and only a run that it lacks is stopped; a lost lease call is repeated at once; jobs wait while no worker is usable; beats carry short names and the cores of a cell and go to dispatching VMs only, at most every 20 ms.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -79,18 +79,18 @@
 
     fun runCount(): Int = synchronized(lock) { seats.values.sumOf { it.runs.size } }
 
-    /** Room that is free on usable workers. */
-    fun rooms(now: Long): List<FreeRoom> = synchronized(lock) {
-        if (!acceptsRuns) return@synchronized emptyList()
+    /** Room that is free on usable workers, by pool. */
+    fun rooms(now: Long): Map<String, List<FreeRoom>> = synchronized(lock) {
+        if (!acceptsRuns) return@synchronized emptyMap()
         seats.values
-            .filter { it.isUsable() && it.runs.size < it.trust.runLimit(now) }
-            .map { FreeRoom(it.entry.pool, it.free(), it.trust.speed) }
-            .filter { it.free.cpuMilli > 0 }
+            .filter { it.isUsable() && it.runs.size < it.trust.runLimit(now) && it.free().cpuMilli > 0 }
+            .groupBy({ it.entry.pool }) { FreeRoom(it.free(), it.trust.speed.toFloat()) }
     }
 
-    /** Usable workers by pool, with the sum of their processors in thousandths, for estimates of the waiting time. */
-    fun capacity(pool: String): Int =
-        synchronized(lock) { seats.values.filter { it.isUsable() && it.entry.pool == pool }.sumOf { it.entry.capacity.cpuMilli } }
+    /** Cores of the usable workers by pool, for estimates of the waiting time. */
+    fun cores(): Map<String, Int> = synchronized(lock) {
+        seats.values.filter { it.isUsable() }.groupBy { it.entry.pool }.mapValues { (_, same) -> same.sumOf { it.entry.capacity.cpuMilli } / MILLI }
+    }
 
     /** Chooses a worker for [order] and occupies its room; null if it fits nowhere. */
     fun place(order: RunOrder, now: Long): Placement? = synchronized(lock) {
@@ -134,8 +134,7 @@
             is StartOutcome.Unknown -> {
                 run.knownSince = now
                 if (run.state == RunState.ORDERED) run.state = RunState.UNCERTAIN
-                seat.isAnswering = false
-                listOf(CellEvent.Stop(seat.entry, run.order.run))
+                emptyList()
             }
         }
     }
@@ -175,6 +174,11 @@
         call?.let { LeasePlan(seat.entry, it, now) }
     }
 
+    /** A call for the worker's list of runs as it is now, after an order without an answer. */
+    fun planLook(id: String, now: Long): LeasePlan? = synchronized(lock) {
+        seats[id]?.let { LeasePlan(it.entry, LeaseCall(token, it.handledEnd, leaseUntilMs = null, waitMs = 0), now) }
+    }
+
     /** True while the worker has runs, so that its lease has to be renewed without delay. */
     fun hasRuns(id: String): Boolean = synchronized(lock) { seats[id]?.runs?.isNotEmpty() == true }
 
@@ -301,6 +305,8 @@
     }
 
     private companion object {
+        const val MILLI = 1_000
+
         /** Makes a worker the last choice. */
         const val AVOID_COST_MS = 1_000_000L
 
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -33,7 +33,7 @@
  * @property uncertainMs a task whose run was lost with another VM is not started again for this long, in ms
  */
 internal data class DispatchRules(
-    val lateFactor: Double = 1.0,
+    val lateFactor: Double = 1.3,
     val retryAfterMs: Long = 1_000,
     val maxJobs: Int = 2_000,
     val uncertainMs: Long = 2_000,
@@ -69,7 +69,8 @@
     private fun refusal(job: DispatchedJob, poolCores: Double, now: Long): JobOutcome? {
         if (jobs.size >= rules.maxJobs) return notRun("too many jobs in hand")
         if (now >= job.deadlineAt) return notRun("the client's deadline has passed")
-        if (poolCores <= 0.0) return notRun("no worker of the pool is usable")
+        // Without a usable worker the job waits for one, since a keeper may just be taking over; expire() refuses it in time.
+        if (poolCores <= 0.0) return null
         val ahead = jobs.values.filter { it.queue.pool == job.queue.pool && isAhead(it, job) }.sumOf { it.waitingCoreMs() }
         val waitMs = (ahead + job.waitingCoreMs() / 2) / poolCores
         val expected = now + waitMs.toLong() + job.remainingChainMs()
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/FleetRules.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/FleetRules.kt
@@ -6,7 +6,8 @@
  * @property leaseMs length of a worker's lease, the most that workers grant
  * @property renewMs longest wait for an end before the lease is renewed
  * @property leaseMarginMs a run counts as ended this long after its lease has expired
- * @property orderTimeoutMs longest wait for a worker's answer to an order
+ * @property startTimeoutMs longest wait for the answer to a start; the worker's list of runs is then asked for
+ * @property answerMarginMs longest wait for an answer beyond the time that the worker was asked to wait
  * @property stuckGraceMs a run is never judged as stuck earlier than this
  * @property stuckFactor a run is stuck if it would take this many times the expected run time
  * @property ejectMs how long a worker that fails its runs is avoided at first; doubles up to [ejectMaxMs]
@@ -16,9 +17,10 @@
  */
 internal data class FleetRules(
     val leaseMs: Long = 1_000,
-    val renewMs: Int = 300,
+    val renewMs: Int = 250,
     val leaseMarginMs: Long = 60,
-    val orderTimeoutMs: Long = 400,
+    val startTimeoutMs: Long = 150,
+    val answerMarginMs: Long = 250,
     val stuckGraceMs: Long = 150,
     val stuckFactor: Double = 3.0,
     val ejectMs: Long = 2_000,
--- a/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
@@ -200,7 +200,7 @@
         private const val RENEW_MS = 500L
 
         /** A cell without a keeper that is heard of is claimed after this time, in ms; one of another data centre later. */
-        private const val ORPHAN_MS = 500L
+        private const val ORPHAN_MS = 350L
         private const val FOREIGN_ORPHAN_MS = 1_500L
 
         /** A cell goes back to its own data centre when a VM there has been heard of for this long, in ms. */
--- a/src/main/kotlin/dandelionpoint/fleet/CellKeeper.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellKeeper.kt
@@ -74,12 +74,15 @@
     private suspend fun start(placement: Placement) {
         val order = StartOrder(placement.order.run, placement.order.payload, placement.leaseUntilMs, cell.token)
         signals[placement.worker.id]?.trySend(Unit)
-        val outcome = port.start(placement.worker, order, rules.orderTimeoutMs)
+        val outcome = port.start(placement.worker, order, rules.startTimeoutMs)
         if (outcome !is StartOutcome.Started) {
             log.info { "event=start_not_confirmed task=${order.run.task} run=${order.run.run} worker=${placement.worker.id} outcome=$outcome" }
         }
         handle(cell.onStart(placement, outcome, clock.millis()))
-        if (outcome is StartOutcome.Unknown) signals[placement.worker.id]?.trySend(Unit)
+        if (outcome is StartOutcome.Unknown) {
+            delay(LOOK_DELAY_MS)
+            cell.planLook(placement.worker.id, clock.millis())?.let { send(it) }
+        }
     }
 
     /** Stops the runs that [matches] selects. */
@@ -109,7 +112,7 @@
     }
 
     private suspend fun stop(worker: WorkerEntry, run: TaskRun) {
-        val isConfirmed = port.stop(worker, run, cell.token, rules.orderTimeoutMs)
+        val isConfirmed = port.stop(worker, run, cell.token, rules.answerMarginMs)
         if (isConfirmed) handle(cell.onStopped(worker.id, run))
     }
 
@@ -132,25 +135,33 @@
 
     private suspend fun lease(plan: LeasePlan) {
         val fresh = cell.planLease(plan.worker.id, clock.millis()) ?: return
-        when (val outcome = port.lease(fresh.worker, fresh.call, fresh.call.waitMs + rules.orderTimeoutMs)) {
+        val hasAnswered = send(fresh)
+        when {
+            hasAnswered && fresh.call.waitMs == 0 && cell.hasRuns(fresh.worker.id) -> delay(POLL_PAUSE_MS)
+
+            // The first call that is lost is repeated at once: the lease has to be renewed.
+            !hasAnswered && fresh.call.leaseUntilMs == null -> delay(RETRY_MS)
+        }
+    }
+
+    /** Sends the call of [plan] and takes its answer. Returns false if there was none. */
+    private suspend fun send(plan: LeasePlan): Boolean {
+        when (val outcome = port.lease(plan.worker, plan.call, plan.call.waitMs + rules.answerMarginMs)) {
             is LeaseOutcome.Answered -> {
-                handle(cell.onReport(fresh, outcome.report, clock.millis()))
-                if (fresh.call.waitMs == 0 && cell.hasRuns(fresh.worker.id)) delay(POLL_PAUSE_MS)
+                handle(cell.onReport(plan, outcome.report, clock.millis()))
+                return true
             }
 
             is LeaseOutcome.Fenced -> listener.fenced(cell.name)
 
-            is LeaseOutcome.OtherIncarnation -> {
-                handle(cell.onOtherIncarnation(fresh, clock.millis()))
-                delay(RETRY_MS)
-            }
+            is LeaseOutcome.OtherIncarnation -> handle(cell.onOtherIncarnation(plan, clock.millis()))
 
             is LeaseOutcome.NoAnswer -> {
-                log.info { "event=worker_silent worker=${fresh.worker.id} cell=${cell.name} reason=\"${outcome.reason}\"" }
-                cell.onNoAnswer(fresh)
-                delay(RETRY_MS)
+                log.info { "event=worker_silent worker=${plan.worker.id} cell=${cell.name} reason=\"${outcome.reason}\"" }
+                cell.onNoAnswer(plan)
             }
         }
+        return false
     }
 
     private companion object {
@@ -160,5 +171,8 @@
         const val ACKNOWLEDGE_MS = 250L
         const val POLL_PAUSE_MS = 20L
         const val RETRY_MS = 150L
+
+        /** Lists that are asked for this long after an order's timeout must have its run, if it exists, in ms. */
+        const val LOOK_DELAY_MS = 1L
     }
 }
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -288,18 +288,22 @@
         beatDue.trySend(Unit)
     }
 
+    /** Changes of the rooms between the steady beats go only to VMs that dispatch. */
     private suspend fun beats() {
+        var steadyAt = clock.millis()
         while (scope.isActive) {
-            withTimeoutOrNull(BEAT_MS) { beatDue.receive() }
-            val beat = beat()
-            network.connected().forEach { network.send(it, beat) }
+            withTimeoutOrNull(steadyAt + BEAT_MS - clock.millis()) { beatDue.receive() }
+            val isSteady = clock.millis() >= steadyAt + BEAT_MS
+            if (isSteady) steadyAt = clock.millis()
+            val dispatching = liveness.live().filter { it.beat.cells.isNotEmpty() }.map { it.vm }.toSet()
+            network.send(network.connected().filter { isSteady || it in dispatching }, beat())
             delay(BEAT_PAUSE_MS)
         }
     }
 
     private fun beat(): FleetBeat {
         val now = clock.millis()
-        val cells = keepers.values.map { CellStatus(it.cell.name, it.cell.token, it.cell.rooms(now)) }
+        val cells = keepers.values.map { CellStatus(it.cell.name, it.cell.token, it.cell.rooms(now), it.cell.cores()) }
         return FleetBeat(cells, isStopping, configuration?.version ?: 0, dispatch.waitingJobs())
     }
 
@@ -429,7 +433,7 @@
         const val ANNOUNCE_RETRY_MS = 500L
         const val CLAIM_STEP_MS = 150L
         const val BEAT_MS = 150L
-        const val BEAT_PAUSE_MS = 8L
+        const val BEAT_PAUSE_MS = 20L
         const val TICK_MS = 40L
         const val STOOD_STILL_MS = 250L
         const val PULL_TIMEOUT_MS = 1_000L
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -79,7 +79,10 @@
         return mine.await()
     }
 
-    private fun poolCores(pool: String): Double = view.keepers().sumOf { it.cell.capacity(pool) } / MILLI + remote.freeCores(pool)
+    private fun poolCores(pool: String): Double {
+        val own = view.keepers().sumOf { it.cell.cores()[pool] ?: 0 }
+        return own + remote.cores(pool, hasOwnCell = own > 0)
+    }
 
     private fun place(order: RunOrder): RunPlace? {
         view.keepers().firstOrNull { it.place(order) }?.let { return RunPlace.Local(it.cell.name) }
@@ -95,7 +98,7 @@
             when (val reply = link.call(vm, loan, LOAN_TIMEOUT_MS)) {
                 is PeerReply.Answered -> {
                     val end = (reply.message as? RunAnswer)?.end ?: RunEnd.LOST
-                    if (end == RunEnd.NOT_STARTED) remote.forget(vm)
+                    if (end == RunEnd.NOT_STARTED) remote.exhausted(vm)
                     return ended(order.run, end, avoid = "")
                 }
 
@@ -153,8 +156,6 @@
     }
 
     private companion object {
-        const val MILLI = 1_000.0
-
         /** Longest time a lent run is waited for, in ms. */
         const val LOAN_TIMEOUT_MS = 15_000L
         const val LOAN_RETRY_MS = 150L
--- a/src/main/kotlin/dandelionpoint/protocol/fleet/FleetJob.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/fleet/FleetJob.kt
@@ -1,11 +1,16 @@
 /* Jobs that entry VMs run on leased workers: steps of equal tasks, and the queue that a job was submitted to. */
 package dandelionpoint.protocol.fleet
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** What a task occupies on a worker, or what a worker has: thousandths of a core, memory in MB, accelerators. */
 @Serializable
-data class Demand(val cpuMilli: Int, val memoryMb: Int = 0, val accelerators: Int = 0) {
+data class Demand(
+    @SerialName("c") val cpuMilli: Int,
+    @SerialName("m") val memoryMb: Int = 0,
+    @SerialName("a") val accelerators: Int = 0,
+) {
     operator fun plus(other: Demand) = Demand(cpuMilli + other.cpuMilli, memoryMb + other.memoryMb, accelerators + other.accelerators)
 
     operator fun minus(other: Demand) = Demand(cpuMilli - other.cpuMilli, memoryMb - other.memoryMb, accelerators - other.accelerators)
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerConnection.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerConnection.kt
@@ -114,6 +114,11 @@
         enqueue(PeerFrame(0, message = message))
     }
 
+    /** Sends a frame that is encoded already; drops it if the queue is full or the connection closed. */
+    fun send(frame: ByteArray) {
+        outgoing.trySend(frame)
+    }
+
     /** Sends [message] and waits up to [timeoutMs] for the reply. */
     suspend fun call(message: PeerMessage, timeoutMs: Long): PeerReply {
         val number = nextCall.getAndIncrement()
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -4,6 +4,7 @@
  */
 package dandelionpoint.transport.peer
 
+import dandelionpoint.protocol.peer.PeerFrame
 import dandelionpoint.protocol.peer.PeerLink
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.PeerReply
@@ -158,6 +159,13 @@
         connections[to]?.send(message)
     }
 
+    /** Sends [message] to each of [receivers], encoded once. */
+    fun send(receivers: Collection<VmIdentity>, message: PeerMessage) {
+        if (receivers.isEmpty()) return
+        val bytes = codec.encode(PeerFrame(0, message = message))
+        receivers.forEach { connections[it]?.send(bytes) }
+    }
+
     /** Closes the connections with [vm] in both directions, so that nothing that was sent over them arrives later. */
     fun drop(vm: VmIdentity) {
         connections[vm]?.close()
--- /dev/null
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/CellTest.kt
@@ -0,0 +1,213 @@
+package dandelionpoint.coordination.fleet
+
+import dandelionpoint.protocol.fleet.RunEnd
+import dandelionpoint.protocol.fleet.StartOutcome
+import dandelionpoint.protocol.fleet.StartRefusal
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+
+private val RULES = FleetRules()
+private const val TOKEN = 7L
+
+private fun Cell.know(vararg ids: String, now: Long = 0) {
+    updateWorkers(ids.map { worker(it) }, now)
+    ids.forEach { onReport(checkNotNull(planLease(it, now)), report(clockMs = now), now) }
+}
+
+private fun Cell.placed(order: RunOrder, now: Long = 0): Placement = checkNotNull(place(order, now))
+
+private fun Cell.started(order: RunOrder, now: Long = 0): Placement =
+    placed(order, now).also { onStart(it, StartOutcome.Started(now), now) }
+
+private fun List<CellEvent>.ends() = filterIsInstance<CellEvent.Ended>().map { it.order.run to it.end }
+
+private fun List<CellEvent>.stops() = filterIsInstance<CellEvent.Stop>().map { it.run }
+
+internal class CellTest :
+    DescribeSpec({
+        describe("room") {
+            it("is not given on a worker whose list of runs was not seen under this token") {
+                val cell = Cell("akl-a", TOKEN)
+                cell.updateWorkers(listOf(worker("w")), 0)
+                cell.place(order(), 0).shouldBeNull()
+            }
+
+            it("is never overbooked") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                cell.placed(order("a"))
+                cell.placed(order("b"))
+                withClue("16 cores have room for two tasks of 7") { cell.place(order("c"), 0).shouldBeNull() }
+            }
+
+            it("is occupied until the end of a stopped run is listed") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                cell.started(order("a"))
+                cell.started(order("b"))
+                cell.stopRuns { it.task.jobId == "a" }.stops() shouldHaveSize 1
+                cell.onStopped("w", order("a").run)
+                cell.place(order("c"), 10).shouldBeNull()
+                val plan = checkNotNull(cell.planLease("w", 20))
+                cell.onReport(plan, report(20, running = listOf(order("b").run), ended = listOf(order("a").run to RunEnd.LOST)), 21)
+                cell.place(order("c"), 30).shouldNotBeNull()
+            }
+
+            it("is not given on a draining worker") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                cell.updateWorkers(listOf(worker("w", isDraining = true)), 10)
+                cell.place(order(), 10).shouldBeNull()
+            }
+
+            it("is not given before the former keeper has released the worker") {
+                val cell = Cell("akl-a", TOKEN)
+                cell.awaitRelease(setOf("w"))
+                cell.updateWorkers(listOf(worker("w")), 0)
+                cell.planLease("w", 0).shouldBeNull()
+                cell.release(setOf("w"))
+                cell.planLease("w", 1).shouldNotBeNull()
+            }
+        }
+
+        describe("an order without an answer") {
+            it("is not taken as ended while the worker may still carry it out") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                val placement = cell.placed(order())
+                cell.onStart(placement, StartOutcome.Unknown("timeout"), 400).ends().shouldBeEmpty()
+                cell.tick(500).ends().shouldBeEmpty()
+            }
+
+            it("ends as lost after the stop is confirmed and a later list does not have it") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                val placement = cell.placed(order())
+                cell.onStart(placement, StartOutcome.Unknown("timeout"), 400).ends().shouldBeEmpty()
+                val look = checkNotNull(cell.planLook("w", 401))
+                val events = cell.onReport(look, report(401), 402)
+                events.stops() shouldBe listOf(placement.order.run)
+                events.ends().shouldBeEmpty()
+                cell.onStopped("w", placement.order.run)
+                val plan = checkNotNull(cell.planLease("w", 410))
+                cell.onReport(plan, report(410), 411).ends() shouldBe listOf(placement.order.run to RunEnd.LOST)
+            }
+
+            it("is not judged by a list that was asked for before its timeout") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                val placement = cell.placed(order())
+                val early = checkNotNull(cell.planLease("w", 10))
+                cell.onStart(placement, StartOutcome.Unknown("timeout"), 150)
+                cell.onReport(early, report(160), 160).shouldBeEmpty()
+            }
+
+            it("is kept if a later list shows it as running") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                val placement = cell.placed(order())
+                cell.onStart(placement, StartOutcome.Unknown("timeout"), 100)
+                val plan = checkNotNull(cell.planLease("w", 110))
+                val events = cell.onReport(plan, report(110, running = listOf(placement.order.run)), 111)
+                events.ends().shouldBeEmpty()
+                events.stops().shouldBeEmpty()
+            }
+
+            it("is stopped when a worker carries it out after the run was given up") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                val late = order(run = 1)
+                val plan = cell.apply { started(order("other")) }.planLease("w", 3_000)
+                cell.onReport(checkNotNull(plan), report(3_000, running = listOf(order("other").run, late.run)), 3_001).stops() shouldContain late.run
+            }
+        }
+
+        describe("a silent worker") {
+            it("keeps its runs until its lease has certainly expired, and calls do not renew it meanwhile") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                cell.started(order())
+                val plan = checkNotNull(cell.planLease("w", 100))
+                cell.onNoAnswer(plan)
+                val again = checkNotNull(cell.planLease("w", 900))
+                again.call.leaseUntilMs.shouldBeNull()
+                cell.tick(1_090).ends().shouldBeEmpty()
+                cell.tick(100 + RULES.longestLeaseMs + 1).ends() shouldBe listOf(order().run to RunEnd.LOST)
+            }
+
+            it("gets no further runs") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                cell.started(order())
+                cell.onNoAnswer(checkNotNull(cell.planLease("w", 100)))
+                cell.place(order("b"), 110).shouldBeNull()
+            }
+        }
+
+        describe("a run") {
+            it("that stands still is stopped, and its end is reported only when the worker lists it") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                cell.started(order(estimateMs = 60))
+                val plan = checkNotNull(cell.planLease("w", 600))
+                val events = cell.onReport(plan, report(600, running = listOf(order().run), percent = 0), 601)
+                events.stops() shouldBe listOf(order().run)
+                events.ends().shouldBeEmpty()
+            }
+
+            it("that only takes longer than declared is left alone") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                cell.started(order(estimateMs = 600))
+                val plan = checkNotNull(cell.planLease("w", 900))
+                cell.onReport(plan, report(900, running = listOf(order().run), percent = 80), 900).stops().shouldBeEmpty()
+            }
+
+            it("is lost when its worker starts anew under the same id") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                cell.started(order())
+                val plan = checkNotNull(cell.planLease("w", 100))
+                cell.onReport(plan, report(5, bornMs = 99), 101).ends() shouldBe listOf(order().run to RunEnd.LOST)
+            }
+
+            it("has each end handled once, also when the worker lists it again") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                cell.started(order())
+                val done = report(60, ended = listOf(order().run to RunEnd.DONE))
+                cell.onReport(checkNotNull(cell.planLease("w", 10)), done, 61).ends() shouldHaveSize 1
+                cell.onReport(checkNotNull(cell.planLease("w", 62)), done, 63).ends().shouldBeEmpty()
+            }
+        }
+
+        describe("an end") {
+            it("is acknowledged although no further run follows") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                cell.started(order())
+                cell.onReport(checkNotNull(cell.planLease("w", 10)), report(60, ended = listOf(order().run to RunEnd.DONE)), 61)
+                val plan = checkNotNull(cell.planLease("w", 62))
+                plan.call.seenEnd shouldBe 1
+                cell.onReport(plan, report(63), 63)
+                cell.planLease("w", 64).shouldBeNull()
+            }
+        }
+
+        describe("a worker that fails its runs") {
+            it("is avoided after runs of two jobs have failed, and not for one failing job") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                cell.started(order("a"))
+                cell.onReport(checkNotNull(cell.planLease("w", 10)), report(11, ended = listOf(order("a").run to RunEnd.FAILED)), 11)
+                cell.started(order("a", index = 1), now = 12)
+                val second = report(13, ended = listOf(order("a", index = 1).run to RunEnd.FAILED), firstEnd = 2)
+                cell.onReport(checkNotNull(cell.planLease("w", 12)), second, 13)
+                cell.started(order("b"), now = 14)
+                val third = report(15, ended = listOf(order("b").run to RunEnd.FAILED), firstEnd = 3)
+                cell.onReport(checkNotNull(cell.planLease("w", 14)), third, 15)
+                cell.place(order("c"), 16).shouldBeNull()
+                cell.place(order("c"), 16 + RULES.ejectMs).shouldNotBeNull()
+            }
+        }
+
+        describe("another keeper") {
+            it("is noticed by a refused start, which has started nothing") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                val placement = cell.placed(order())
+                val events = cell.onStart(placement, StartOutcome.Refused(StartRefusal.FENCED), 5)
+                events shouldContain CellEvent.Fenced
+                events.ends() shouldBe listOf(placement.order.run to RunEnd.NOT_STARTED)
+            }
+        }
+    })
