Take SIGHUP as a change of settings and reclaim the own cells at a restart

After the loss of all VMs the cells were gained 0.75 s after the configuration: each VM waited for a keeper that could only be itself. Ruled out for 129: memory, crashes (no error file). Change: a handler for SIGHUP, the settings file is read again then and when it changes; a VM claims at once the cells whose row names an earlier incarnation of itself.

--- a/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
@@ -8,15 +8,22 @@
 import dandelionpoint.settings.FleetSettings
 import dandelionpoint.settings.HostAndPort
 import dandelionpoint.settings.SettingsReader
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import picocli.CommandLine.Command
 import picocli.CommandLine.Parameters
+import sun.misc.Signal
 import java.io.IOException
+import java.nio.file.Files
 import java.nio.file.Path
+import java.nio.file.attribute.FileTime
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicBoolean
+
+private val log = KotlinLogging.logger {}
 
 /** Runs an entry VM on the users' platform until it is told to stop. */
 @Command(
@@ -41,11 +48,11 @@
                 ExitCode.USAGE
             }
 
-            is Either.Right -> serve(read.value)
+            is Either.Right -> serve(path, read.value)
         }
     }
 
-    private fun serve(settings: FleetSettings): Int = try {
+    private fun serve(path: Path, settings: FleetSettings): Int = try {
         val vm = FleetVm(settings, platformPorts(settings.store.toString()))
         val clients = PlatformClients(vm, vm.scope, settings.clients.listen(), settings.readiness?.listen())
         runBlocking { vm.start() }
@@ -56,6 +63,10 @@
                 clients.poll()
             }
         }
+        // Without a handler the JVM ends at SIGHUP.
+        val isChanged = AtomicBoolean()
+        Signal.handle(Signal("HUP")) { isChanged.set(true) }
+        vm.scope.launch { followSettings(path, vm, isChanged) }
         stopOnSignal(vm, clients)
         CountDownLatch(1).await()
         ExitCode.OK
@@ -64,6 +75,28 @@
         ExitCode.REFUSED
     }
 
+    /** Reads the settings again after SIGHUP, and when the file has changed without a signal. */
+    private suspend fun followSettings(path: Path, vm: FleetVm, isChanged: AtomicBoolean) {
+        var modified = modifiedAt(path)
+        while (true) {
+            delay(SETTINGS_POLL_MS)
+            val now = modifiedAt(path)
+            if (!isChanged.getAndSet(false) && now == modified) continue
+            modified = now
+            when (val read = SettingsReader.readFleet(path)) {
+                is Either.Left -> log.warn { "event=settings_refused faults=\"${read.value.joinToString()}\"" }
+                is Either.Right -> log.info { "event=settings_read restart_needed_for=${vm.reload(read.value)}" }
+            }
+        }
+    }
+
+    private fun modifiedAt(path: Path): FileTime? = try {
+        Files.getLastModifiedTime(path)
+    } catch (e: IOException) {
+        log.warn { "event=settings_missing reason=\"${e.message}\"" }
+        null
+    }
+
     private fun HostAndPort.listen() = ListenAddress(host, port)
 
     private fun stopOnSignal(vm: FleetVm, clients: PlatformClients) {
@@ -77,5 +110,6 @@
     private companion object {
         const val SETTINGS_VARIABLE = "DANDELIONPOINT_SETTINGS"
         const val CLIENT_POLL_MS = 100L
+        const val SETTINGS_POLL_MS = 1_000L
     }
 }
--- a/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
@@ -60,6 +60,7 @@
     private val held = ConcurrentHashMap<String, Held>()
     private val orphanedSince = HashMap<String, Long>()
     private val localSince = HashMap<String, Long>()
+    private var hasReclaimed = false
     private val requested = ConcurrentHashMap<String, VmIdentity>()
 
     /** A stopping keeper, [from], asks this VM to take [cell] over. */
@@ -70,6 +71,7 @@
     /** Renews the claims of this VM and claims cells that have no keeper. */
     suspend fun step() {
         val now = clock.millis()
+        if (!hasReclaimed) hasReclaimed = reclaim()
         requested.keys.toList().forEach { cell -> requested.remove(cell)?.let { takeOver(cell, it) } }
         for (cell in host.cells() + held.keys) {
             val mine = held[cell]
@@ -81,6 +83,14 @@
         }
     }
 
+    /** Claims the cells that an earlier incarnation of this VM kept: it has ended, so nobody has to be waited for. */
+    private suspend fun reclaim(): Boolean {
+        val read = store.read(TABLE)
+        val rows = (read as? Either.Right)?.value?.rows ?: return false
+        rows.filter { row -> decode(row)?.let { it.vm.name == host.self.name && !it.isReleased } == true }.forEach { claim(it.key, from = null) }
+        return true
+    }
+
     private suspend fun keep(cell: String, mine: Held, now: Long) {
         val rival = host.livePeers().firstOrNull { peer -> peer.beat.cells.any { it.cell == cell && it.token > mine.token } }
         if (rival != null) return giveUp(cell, rival.vm)
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -139,6 +139,20 @@
         log.info { "event=started vm=${self.name} incarnation=$incarnation" }
     }
 
+    /** Takes settings that have changed while the VM runs: new seed peers. Returns the names of changed settings that need a restart. */
+    fun reload(changed: FleetSettings): List<String> {
+        changed.seedPeers.forEach { network.connect(PeerAddress(it.host, it.port)) }
+        val differing = mapOf(
+            "name" to (changed.name != settings.name),
+            "dataCentre" to (changed.dataCentre != settings.dataCentre),
+            "clients" to (changed.clients != settings.clients),
+            "peers" to (changed.peers != settings.peers),
+            "store" to (changed.store != settings.store),
+            "leaseMs" to (changed.leaseMs != settings.leaseMs),
+        )
+        return differing.filterValues { it }.keys.toList()
+    }
+
     private suspend fun every(ms: Long, step: suspend () -> Unit) {
         while (scope.isActive) {
             step()
