Keep the runs that a worker's new incarnation has already taken

Cause: a property test of cell and dispatch on virtual workers (StartOnceTest) found two runs of a task at the same time: a worker that had started anew took run 2 before the cell noticed; the cell then ended all its runs as lost and started run 3 beside run 2. Ruled out: lost stops, late orders (the same test passes with these and without restarts). Change: a new incarnation only resets the numbering of ends; a run ends as lost when a list that must have it lacks it. Answers of an older incarnation are ignored. A keeper that is fenced no longer counts its lease as renewed. The body of a submission is encoded in platform/.

--- a/src/main/kotlin/dandelionpoint/cli/FleetDemoCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/FleetDemoCommand.kt
@@ -3,7 +3,11 @@
 import dandelionpoint.fleet.FleetVm
 import dandelionpoint.platform.ListenAddress
 import dandelionpoint.platform.PlatformClients
+import dandelionpoint.platform.encodeJob
 import dandelionpoint.platform.platformPorts
+import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.FleetJob
+import dandelionpoint.protocol.fleet.JobStep
 import dandelionpoint.standin.fleet.FleetTrial
 import dandelionpoint.transport.http.CallThreads
 import dandelionpoint.transport.http.HttpChannel
@@ -51,13 +55,13 @@
     }
 
     private suspend fun submit(port: Int, id: String): Int {
-        val body = """{"spec":"demo","best_effort":true,"steps":[{"count":4,"cpu":1000,"mem_mb":64,"est_runtime_ms":60}]}"""
+        val job = FleetJob(id, payload = "demo", steps = listOf(JobStep(TASKS, Demand(cpuMilli = 1_000, memoryMb = 64), estimateMs = 60)))
         val request = Request
             .Builder()
             .url("http://${FleetTrial.LOOPBACK}:$port${FleetTrial.PREFIX}$id")
             .header("Host", FleetTrial.HOST)
             .header("Deadline-Remaining-Ms", "3000")
-            .post(OneShotBody(body.encodeToByteArray(), "application/json".toMediaType()))
+            .post(OneShotBody(encodeJob(job), "application/json".toMediaType()))
             .build()
         return (channel.send(request, REQUEST_TIMEOUT_MS) as? HttpOutcome.Answer)?.status ?: 0
     }
@@ -69,6 +73,7 @@
 
     private companion object {
         const val JOBS = 12
+        const val TASKS = 4
         const val OK = 200
         const val POLL_MS = 20L
         const val READY_TIMEOUT_MS = 10_000L
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -43,18 +43,17 @@
     private var acceptsRuns = true
 
     /** Takes the list of the cell's workers. Workers that left it end their runs once their lease has expired. */
-    fun updateWorkers(entries: List<WorkerEntry>): List<CellEvent> = synchronized(lock) {
-        val events = mutableListOf<CellEvent>()
+    fun updateWorkers(entries: List<WorkerEntry>) = synchronized(lock) {
         entries.forEach { entry ->
             val seat = seats.getOrPut(entry.id) { WorkerSeat(entry, rules).also { it.isReleased = entry.id !in unreleased } }
             val isReborn = entry.bornMs != 0L && seat.bornMs != 0L && entry.bornMs > seat.bornMs
-            if (isReborn) events += restart(seat, entry.bornMs)
+            if (isReborn) seat.forgetList()
             seat.entry = entry
         }
         val listed = entries.map { it.id }.toSet()
         seats.values.filter { it.entry.id !in listed }.forEach { it.entry = it.entry.copy(isDraining = true) }
         seats.values.removeIf { it.entry.id !in listed && it.runs.isEmpty() }
-        events
+        Unit
     }
 
     /** Waits with the workers in [ids] until their former keeper releases them. */
@@ -188,9 +187,10 @@
     /** Takes the worker's list of runs, the answer to [plan]. */
     fun onReport(plan: LeasePlan, report: LeaseReport, now: Long): List<CellEvent> = synchronized(lock) {
         val seat = seats[plan.worker.id] ?: return@synchronized emptyList()
+        if (report.bornMs != 0L && report.bornMs < seat.bornMs) return@synchronized emptyList()
+        // The new incarnation may already have runs of this cell: what it does not list ends below, like any run that a list lacks.
+        if (report.bornMs > seat.bornMs) seat.startAnew(report.bornMs)
         val events = mutableListOf<CellEvent>()
-        if (report.bornMs != 0L && seat.bornMs != 0L && report.bornMs != seat.bornMs) events += restart(seat, report.bornMs)
-        if (report.bornMs != 0L) seat.bornMs = report.bornMs
         seat.readClock(report.clockMs, now)
         seat.isAnswering = true
         seat.acknowledgedEnd = max(seat.acknowledgedEnd, plan.call.seenEnd)
@@ -256,7 +256,8 @@
         val seat = seats[plan.worker.id] ?: return@synchronized emptyList()
         seat.isAnswering = false
         seat.trust.eject(now)
-        restart(seat, bornMs = 0)
+        seat.forgetList()
+        seat.runs.values.toList().map { end(seat, it, RunEnd.LOST) }
     }
 
     /** Stops the runs that [matches] selects. */
@@ -283,12 +284,6 @@
         seats.values.flatMap { seat -> seat.runs.values.toList().map { end(seat, it, RunEnd.LOST) } }
     }
 
-    private fun restart(seat: WorkerSeat, bornMs: Long): List<CellEvent> {
-        val ended = seat.restart()
-        seat.bornMs = bornMs
-        return ended.map { CellEvent.Ended(it.order, RunEnd.LOST, seat.entry.id) }
-    }
-
     private fun end(seat: WorkerSeat, run: SeatedRun, how: RunEnd): CellEvent {
         seat.runs.remove(run.order.task)
         return CellEvent.Ended(run.order, how, seat.entry.id)
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerSeat.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerSeat.kt
@@ -102,15 +102,17 @@
         return projected - elapsed >= 2 * usualMs
     }
 
-    /** Forgets the worker's former incarnation. Returns the runs that ended with it. */
-    fun restart(): List<SeatedRun> {
-        val ended = runs.values.toList()
-        runs.clear()
+    /** The worker's list of runs has to be read before it gets further runs. */
+    fun forgetList() {
         handledEnd = 0
         acknowledgedEnd = 0
         isKnown = false
-        leaseEndsAt = 0
-        return ended
+    }
+
+    /** The list of runs that follows is that of the incarnation started at [bornMs]; its ends are numbered from 1. */
+    fun startAnew(bornMs: Long) {
+        forgetList()
+        this.bornMs = bornMs
     }
 
     private companion object {
--- a/src/main/kotlin/dandelionpoint/fleet/CellKeeper.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellKeeper.kt
@@ -55,7 +55,7 @@
 
     /** Takes the cell's workers and attends to new ones. */
     fun updateWorkers(entries: List<WorkerEntry>) {
-        handle(cell.updateWorkers(entries))
+        cell.updateWorkers(entries)
         cell.workerIds().forEach { id ->
             signals.computeIfAbsent(id) { Channel<Unit>(Channel.CONFLATED).also { scope.launch { attend(id, it) } } }
         }
@@ -154,7 +154,11 @@
                 return true
             }
 
-            is LeaseOutcome.Fenced -> listener.fenced(cell.name)
+            is LeaseOutcome.Fenced -> {
+                // The lease is no longer renewed from here, so that the runs end at a known time.
+                cell.onNoAnswer(plan)
+                listener.fenced(cell.name)
+            }
 
             is LeaseOutcome.OtherIncarnation -> handle(cell.onOtherIncarnation(plan, clock.millis()))
 
--- a/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
@@ -12,9 +12,12 @@
 import dandelionpoint.protocol.fleet.QueueRoute
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.WorkerEntry
+import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.intOrNull
+import kotlinx.serialization.json.put
 
 private const val READY = "ready"
 private const val DRAINING = "draining"
@@ -119,6 +122,25 @@
     )
 }
 
+/** The body with which a client submits [job] as best effort. */
+internal fun encodeJob(job: FleetJob): ByteArray = buildJsonObject {
+    put("spec", job.payload)
+    put("best_effort", true)
+    put("steps", JsonArray(job.steps.map { encodeStep(it) }))
+}.toString().encodeToByteArray()
+
+private fun encodeStep(step: JobStep): JsonObject = buildJsonObject {
+    put("count", step.count)
+    put("cpu", step.demand.cpuMilli)
+    put("mem_mb", step.demand.memoryMb)
+    put("gpu", step.demand.accelerators)
+    put("est_runtime_ms", step.estimateMs)
+    put("after", JsonArray(step.after.map { JsonPrimitive(it) }))
+    step.requiredLabel?.let { put("required_label", it) }
+    step.rack?.let { put("affinity", it) }
+    put("max_per_server", step.maxPerWorker)
+}
+
 private const val MAX_TASKS = 1_200
 
 /** The platform's name of a task. */
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/CellTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/CellTest.kt
@@ -176,6 +176,21 @@
                 cell.onReport(plan, report(5, bornMs = 99), 101).ends() shouldBe listOf(order().run to RunEnd.LOST)
             }
 
+            it("that its worker's new incarnation has already taken is not lost when that incarnation is noticed") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                cell.started(order())
+                val plan = checkNotNull(cell.planLease("w", 100))
+                cell.onReport(plan, report(5, running = listOf(order().run), bornMs = 99), 101).shouldBeEmpty()
+            }
+
+            it("is not judged by a late answer of its worker's former incarnation") {
+                val cell = Cell("akl-a", TOKEN).apply { know("w") }
+                val early = checkNotNull(cell.planLook("w", 50))
+                cell.onReport(checkNotNull(cell.planLook("w", 60)), report(1, bornMs = 99), 61)
+                cell.started(order(), now = 70)
+                cell.onReport(early.copy(sentAt = 80), report(90, bornMs = 1), 90).shouldBeEmpty()
+            }
+
             it("has each end handled once, also when the worker lists it again") {
                 val cell = Cell("akl-a", TOKEN).apply { know("w") }
                 cell.started(order())
--- /dev/null
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
@@ -0,0 +1,197 @@
+/*
+ * A cell and a dispatch against workers in virtual time, with orders and answers that get lost or come late. Everything follows from the
+ * seed. Each start on a worker is checked: no other worker may run the same task then, and the worker must have room.
+ */
+package dandelionpoint.coordination.fleet
+
+import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.EndedRow
+import dandelionpoint.protocol.fleet.LeaseCall
+import dandelionpoint.protocol.fleet.LeaseReport
+import dandelionpoint.protocol.fleet.RunEnd
+import dandelionpoint.protocol.fleet.RunningRow
+import dandelionpoint.protocol.fleet.StartOutcome
+import dandelionpoint.protocol.fleet.StartRefusal
+import dandelionpoint.protocol.fleet.TaskRef
+import dandelionpoint.protocol.fleet.TaskRun
+import kotlin.random.Random
+
+/** Shares of calls that go wrong. */
+internal data class FaultShares(
+    val lostCall: Double,
+    val lostAnswer: Double,
+    val lateOrder: Double,
+    val restart: Double,
+    val failure: Double,
+)
+
+private class VirtualRun(val run: TaskRun, val demand: Demand, val endsAt: Long, val startedAt: Long, val how: RunEnd)
+
+private class VirtualWorker(val id: String, val capacity: Demand) {
+    val running = LinkedHashMap<TaskRef, VirtualRun>()
+    val ended = mutableListOf<EndedRow>()
+    val highest = HashMap<TaskRef, Int>()
+    var leaseUntil = 0L
+    var lastEnd = 0L
+    var bornMs = 1L
+
+    fun advance(now: Long) {
+        running.values.filter { it.endsAt <= minOf(now, leaseUntil) }.forEach { end(it, it.how) }
+        if (now > leaseUntil) running.values.toList().forEach { end(it, RunEnd.LOST) }
+    }
+
+    fun end(run: VirtualRun, how: RunEnd) {
+        running.remove(run.run.task)
+        highest[run.run.task] = run.run.run
+        ended += EndedRow(++lastEnd, run.run, how)
+    }
+
+    fun restart(now: Long) {
+        running.clear()
+        ended.clear()
+        highest.clear()
+        lastEnd = 0
+        leaseUntil = 0
+        bornMs = now + 1
+    }
+}
+
+internal class VirtualFleet(seed: Long, private val faults: FaultShares, workerCount: Int = 4) {
+    private class LateOrder(val at: Long, val placement: Placement)
+
+    private val random = Random(seed)
+    private val workers = List(workerCount) { VirtualWorker("w$it", worker("w$it").capacity) }.associateBy { it.id }
+    private val cell = Cell("akl-a", token = 1)
+    private val dispatch = Dispatch(ORIGIN)
+    private val late = mutableListOf<LateOrder>()
+    private var now = 0L
+    private var nextJob = 0
+
+    /** What went wrong; empty after a sound run. */
+    val violations = mutableListOf<String>()
+    var finished = 0
+        private set
+    var startCount = 0
+        private set
+
+    /** Plays [ms] of virtual time, with jobs until [quietMs] before the end. */
+    fun play(ms: Long, quietMs: Long) {
+        cell.updateWorkers(workers.keys.map { worker(it) })
+        val end = now + ms
+        while (now < end) {
+            now += STEP_MS
+            if (now < end - quietMs && chance(0.25)) submit()
+            late.filter { it.at <= now }.forEach { order ->
+                late.remove(order)
+                startOn(workers.getValue(order.placement.worker.id), order.placement)
+            }
+            workers.values.filter { chance(faults.restart) }.forEach { it.restart(now) }
+            workers.keys.forEach { lease(it) }
+            cells(cell.tick(now))
+            dispatched(dispatch.schedule(now, ::place))
+        }
+    }
+
+    /** Runs that still occupy room, for the check that nothing is left behind. */
+    fun leftovers(): Int = cell.runCount() + dispatch.size()
+
+    private fun chance(share: Double) = random.nextDouble() < share
+
+    private fun submit() {
+        val job = job("j${nextJob++}", tasks = random.nextInt(1, 5), estimateMs = random.nextLong(20, 200))
+        val submission = Submission(job, queue(), ORIGIN, now, now + 3_000)
+        dispatched(dispatch.submit(submission, poolCores = 64.0, now, ::place))
+    }
+
+    private fun place(order: RunOrder): RunPlace? {
+        val placement = cell.place(order, now) ?: return null
+        pending += placement
+        return RunPlace.Local(cell.name)
+    }
+
+    private val pending = mutableListOf<Placement>()
+
+    private fun dispatched(events: List<DispatchEvent>) {
+        events.forEach { event ->
+            when (event) {
+                is DispatchEvent.Finished -> finished++
+                is DispatchEvent.StopRun -> cells(cell.stopRuns { it.run == event.run })
+            }
+        }
+        while (pending.isNotEmpty()) start(pending.removeFirst())
+    }
+
+    private fun start(placement: Placement) {
+        val target = workers.getValue(placement.worker.id)
+        val outcome = when {
+            chance(faults.lostCall) -> StartOutcome.Unknown("lost")
+
+            chance(faults.lateOrder) -> {
+                late += LateOrder(now + random.nextLong(2_000, 6_000), placement)
+                StartOutcome.Unknown("late")
+            }
+
+            else -> startOn(target, placement).let { if (chance(faults.lostAnswer)) StartOutcome.Unknown("answer lost") else it }
+        }
+        cells(cell.onStart(placement, outcome, now))
+    }
+
+    private fun startOn(target: VirtualWorker, placement: Placement): StartOutcome {
+        workers.values.forEach { it.advance(now) }
+        val run = placement.order.run
+        val used = target.running.values.fold(Demand(0)) { sum, it -> sum + it.demand }
+        val refusal = when {
+            placement.leaseUntilMs <= now -> StartRefusal.LATE
+            run.run <= (target.highest[run.task] ?: 0) -> StartRefusal.OUTDATED_RUN
+            !(target.capacity - used).covers(placement.order.demand) -> StartRefusal.NO_ROOM
+            else -> null
+        }
+        if (refusal == StartRefusal.NO_ROOM && faults.restart == 0.0) violations += "$now: ${target.id} was asked for more than its room"
+        if (refusal != null) return StartOutcome.Refused(refusal)
+        workers.values.filter { it.running[run.task] != null }.forEach {
+            violations += "$now: $run starts on ${target.id} while ${it.running[run.task]?.run} runs on ${it.id}"
+        }
+        startCount++
+        target.leaseUntil = maxOf(target.leaseUntil, placement.leaseUntilMs)
+        val how = if (chance(faults.failure)) RunEnd.FAILED else RunEnd.DONE
+        val length = placement.order.estimateMs + random.nextLong(0, 60)
+        target.running[run.task] = VirtualRun(run, placement.order.demand, now + length, now, how)
+        return StartOutcome.Started(now)
+    }
+
+    private fun lease(id: String) {
+        val plan = cell.planLease(id, now) ?: return
+        if (chance(faults.lostCall)) return cell.onNoAnswer(plan)
+        val report = report(workers.getValue(id), plan.call)
+        if (chance(faults.lostAnswer)) cell.onNoAnswer(plan) else cells(cell.onReport(plan, report, now))
+    }
+
+    private fun report(target: VirtualWorker, call: LeaseCall): LeaseReport {
+        target.advance(now)
+        call.leaseUntilMs?.let { target.leaseUntil = maxOf(target.leaseUntil, it) }
+        target.ended.removeAll { it.number <= call.seenEnd }
+        val running = target.running.values.map { RunningRow(it.run, ((now - it.startedAt) * 100 / (it.endsAt - it.startedAt)).toInt()) }
+        return LeaseReport(now, target.bornMs, running, target.ended.toList())
+    }
+
+    private fun cells(events: List<CellEvent>) = events.forEach { event ->
+        when (event) {
+            is CellEvent.Ended -> dispatched(dispatch.onRunEnd(event.order.run, event.end, event.workerId, now))
+            is CellEvent.Stop -> stop(event)
+            is CellEvent.Fenced -> violations += "$now: fenced without a rival"
+        }
+    }
+
+    private fun stop(event: CellEvent.Stop) {
+        if (chance(faults.lostCall)) return
+        val target = workers.getValue(event.worker.id)
+        target.advance(now)
+        target.running[event.run.task]?.takeIf { it.run == event.run }?.let { target.end(it, RunEnd.LOST) }
+        target.highest.merge(event.run.task, event.run.run, ::maxOf)
+        if (!chance(faults.lostAnswer)) cells(cell.onStopped(event.worker.id, event.run))
+    }
+
+    private companion object {
+        const val STEP_MS = 10L
+    }
+}
--- a/src/test/kotlin/dandelionpoint/platform/PlatformBodiesTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformBodiesTest.kt
@@ -1,12 +1,22 @@
 package dandelionpoint.platform
 
 import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.FleetJob
+import dandelionpoint.protocol.fleet.JobStep
 import dandelionpoint.protocol.fleet.TaskRef
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.bind
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.arbitrary.long
+import io.kotest.property.arbitrary.string
+import io.kotest.property.checkAll
 
 private const val WORKER =
     """{"service":"p","address":"10.0.0.9:8080","zone":"akl-a","state":"ready","capacity":{"cpu":16000,"mem_mb":512},
@@ -57,6 +67,21 @@
                     .shouldBeInstanceOf<SubmittedBody.BestEffort>().job.steps.single().count shouldBe 2
             }
 
+            it("is read back as it was written, whatever its steps") {
+                val step = Arb.bind(Arb.int(1..1_200), Arb.int(0..64_000), Arb.long(0L..100_000L), Arb.int(0..4)) {
+                        count,
+                        cpu,
+                        estimate,
+                        most,
+                    ->
+                    JobStep(count, Demand(cpu, 64), estimate, requiredLabel = "r1-$most", maxPerWorker = most)
+                }
+                checkAll(PropTestConfig(seed = 17), Arb.list(step, 1..4), Arb.string(0..200)) { steps, payload ->
+                    val job = FleetJob("0000000000000001", payload, steps)
+                    decodeJob(job.id, encodeJob(job)) shouldBe SubmittedBody.BestEffort(job)
+                }
+            }
+
             it("with a step that waits for itself gets a true answer at once") {
                 job("""{"best_effort":true,"steps":[{"count":1,"after":[0]}]}""").shouldBeInstanceOf<SubmittedBody.Malformed>()
             }
