--- a/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
@@ -139,7 +139,7 @@
     private fun startOn(target: VirtualWorker, placement: Placement): StartOutcome {
         workers.values.forEach { it.advance(now) }
         val run = placement.order.run
-        val used = target.running.values.fold(Demand(0)) { sum, it -> sum + it.demand }
+        val used = target.running.values.fold(Demand(0)) { sum, run -> sum + run.demand }
         val refusal = when {
             placement.leaseUntilMs <= now -> StartRefusal.LATE
             run.run <= (target.highest[run.task] ?: 0) -> StartRefusal.OUTDATED_RUN
