--- a/src/main/kotlin/dandelionpoint/cli/ConfigCommands.kt
+++ b/src/main/kotlin/dandelionpoint/cli/ConfigCommands.kt
@@ -40,7 +40,7 @@
     name = "check",
     description = ["Checks a file without a server and lists every fault with its path and the accepted values."],
     mixinStandardHelpOptions = true,
-    footer = ["%nExamples:", "  config check samples/crema-entry.json", "  config check samples/crema-presets.json --presets"],
+    footer = ["%nExamples:", "  config check samples/crema-entry.json", "  config check samples/crema-presets.json --presets", "  config check samples/crema-fleet.json --fleet"],
 )
 internal class ConfigCheckCommand : Callable<Int> {
     @Spec
@@ -52,12 +52,19 @@
     @Option(names = ["--presets"], description = ["The file has presets and teams (default: if its name ends in presets.json)."])
     var hasPresets: Boolean = false
 
+    @Option(names = ["--fleet"], description = ["The file is for the command 'fleet' (default: if its name ends in fleet.json)."])
+    var isFleet: Boolean = false
+
     @Mixin
     var output = OutputOption()
 
     override fun call(): Int {
-        val isPresets = hasPresets || file.fileName.toString().endsWith("presets.json")
-        val checked: Checked<Any> = if (isPresets) SettingsReader.readPresets(file) else SettingsReader.readEntry(file)
+        val name = file.fileName.toString()
+        val checked: Checked<Any> = when {
+            isFleet || name.endsWith("fleet.json") -> SettingsReader.readFleet(file)
+            hasPresets || name.endsWith("presets.json") -> SettingsReader.readPresets(file)
+            else -> SettingsReader.readEntry(file)
+        }
         return when (checked) {
             is Either.Left -> report(checked.value)
             is Either.Right -> report(emptyList())
--- a/src/main/kotlin/dandelionpoint/observability/Metrics.kt
+++ b/src/main/kotlin/dandelionpoint/observability/Metrics.kt
@@ -1,4 +1,4 @@
-/* Metrics of an entry VM, for the scrape endpoint. docs/operations.md explains each. */
+/* Metrics of an entry VM, for the scrape endpoint. docs/OPERATIONS.md explains each. */
 package dandelionpoint.observability
 
 import dandelionpoint.protocol.ResultCode
