Pass on no refusal after a lost offer, and close idle connections before a stop

Ruled out: a refusal by a VM that had started runs itself (only jobs without a placed run are refused); the grace (3.1 s were left). Change: after a lost offer a refusal is passed on as given up; at the end of a planned stop the listeners and idle connections are closed first, and requests that were read are waited for.

--- a/src/main/kotlin/dandelionpoint/cli/ConfigCommands.kt
+++ b/src/main/kotlin/dandelionpoint/cli/ConfigCommands.kt
@@ -40,7 +40,12 @@
     name = "check",
     description = ["Checks a file without a server and lists every fault with its path and the accepted values."],
     mixinStandardHelpOptions = true,
-    footer = ["%nExamples:", "  config check samples/crema-entry.json", "  config check samples/crema-presets.json --presets", "  config check samples/crema-fleet.json --fleet"],
+    footer = [
+        "%nExamples:",
+        "  config check samples/crema-entry.json",
+        "  config check samples/crema-presets.json --presets",
+        "  config check samples/crema-fleet.json --fleet",
+    ],
 )
 internal class ConfigCheckCommand : Callable<Int> {
     @Spec
--- a/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
@@ -101,7 +101,10 @@
 
     private fun stopOnSignal(vm: FleetVm, clients: PlatformClients) {
         val hook = Thread {
-            runBlocking { vm.drain { clients.open() } }
+            runBlocking {
+                vm.drain { clients.open() }
+                clients.finish(FINISH_MS)
+            }
             vm.close()
         }
         Runtime.getRuntime().addShutdownHook(hook)
@@ -111,5 +114,8 @@
         const val SETTINGS_VARIABLE = "DANDELIONPOINT_SETTINGS"
         const val CLIENT_POLL_MS = 100L
         const val SETTINGS_POLL_MS = 1_000L
+
+        /** How long requests that arrive at the end of a planned stop are waited for. */
+        const val FINISH_MS = 400L
     }
 }
--- a/src/main/kotlin/dandelionpoint/fleet/JobDesk.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobDesk.kt
@@ -65,7 +65,9 @@
             when (val reply = link.call(keeper, offerOf(submission), submission.deadlineAt - clock.millis() + ANSWER_MARGIN_MS)) {
                 is PeerReply.Answered -> {
                     val outcome = (reply.message as? JobAnswer)?.outcome
-                    return outcome ?: JobOutcome.GivenUp("the dispatching VM has stopped").takeIf { mayHaveArrived }
+                    val isNotRun = outcome == null || outcome is JobOutcome.NotRun
+                    // An earlier offer may have started the job before this one was refused.
+                    return if (isNotRun && mayHaveArrived) JobOutcome.GivenUp("an offer to the dispatching VM was lost") else outcome
                 }
 
                 is PeerReply.NotSent -> if (!mayHaveArrived) return null
--- a/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
@@ -9,6 +9,7 @@
 import io.javalin.Javalin
 import io.javalin.http.Context
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.future.future
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
@@ -73,6 +74,17 @@
         return server.jettyServer().server().connectors.filterIsInstance<ServerConnector>().last().localPort
     }
 
+    /** Takes no more connections, closes those without a request in progress, and waits up to [waitMs] for the others. */
+    suspend fun finish(waitMs: Long) {
+        val connectors = server.jettyServer().server().connectors.filterIsInstance<ServerConnector>()
+        connectors.forEach { it.close() }
+        val latest = System.nanoTime() + waitMs * NANOS_PER_MS
+        do {
+            connectors.flatMap { it.connectedEndPoints }.filterNot { watch.isBusy(it) }.forEach { it.close() }
+            delay(FINISH_POLL_MS)
+        } while (open() > 0 && System.nanoTime() < latest)
+    }
+
     fun stop() {
         server.stop()
     }
@@ -167,6 +179,8 @@
         const val IDLE_MS = 60_000L
         const val DEFAULT_WAIT_MS = 10_000L
         const val MS_PER_S = 1_000L
+        const val NANOS_PER_MS = 1_000_000L
+        const val FINISH_POLL_MS = 10L
         const val OK = 200
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
--- a/src/main/kotlin/dandelionpoint/transport/http/ConnectionWatch.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/ConnectionWatch.kt
@@ -7,6 +7,7 @@
 
 import jakarta.servlet.http.HttpServletRequest
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest
+import org.eclipse.jetty.io.EndPoint
 import java.io.IOException
 import java.nio.ByteBuffer
 import java.nio.channels.SocketChannel
@@ -15,7 +16,7 @@
 /** Open requests and what to do when their client goes away. */
 internal class ConnectionWatch {
     /** One open request. */
-    inner class Entry internal constructor(private val channel: SocketChannel?, private val onGone: () -> Unit) {
+    inner class Entry internal constructor(internal val channel: SocketChannel?, private val onGone: () -> Unit) {
         /** True if bytes of a further request were dropped: the connection cannot be used again. */
         @Volatile
         var mustClose = false
@@ -55,6 +56,9 @@
     /** Requests in progress. */
     fun open(): Int = entries.size
 
+    /** True if a request on [endPoint] is in progress. */
+    fun isBusy(endPoint: EndPoint): Boolean = entries.any { it.channel != null && it.channel == endPoint.transport }
+
     private companion object {
         const val END = -1
     }
--- /dev/null
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
@@ -0,0 +1,152 @@
+package dandelionpoint.platform
+
+import dandelionpoint.fleet.FleetFront
+import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.FleetJob
+import dandelionpoint.protocol.fleet.JobOutcome
+import dandelionpoint.protocol.fleet.JobQueue
+import dandelionpoint.protocol.fleet.JobStep
+import dandelionpoint.protocol.fleet.QueueRoute
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldStartWith
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import java.net.Socket
+import kotlin.time.Duration.Companion.seconds
+
+private const val LOOPBACK = "127.0.0.1"
+private const val ID = "0000000000000001"
+
+/** One queue below /q/ on host h; each job ends with what [outcome] is completed with. */
+private class ScriptedFront(val outcome: CompletableDeferred<JobOutcome> = CompletableDeferred()) : FleetFront {
+    var cancelled = 0
+    override val isReady = true
+    override val isStopping = false
+    override val hasConfiguration = true
+
+    override fun route(host: String, path: String) =
+        if (host == "h" && path.startsWith("/q/")) QueueRoute("h", "/q/", JobQueue("q", "p")) else null
+
+    override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long): JobOutcome = outcome.await()
+
+    override fun cancel(jobId: String): Boolean {
+        cancelled++
+        return outcome.complete(JobOutcome.GivenUp("cancelled"))
+    }
+
+    override fun isInHand(jobId: String) = false
+
+    override fun waitingJobs(queue: String) = 12
+}
+
+private class Client(port: Int) : AutoCloseable {
+    private val socket = Socket(LOOPBACK, port).apply { soTimeout = 5_000 }
+
+    fun post(body: String = encodeJob(FleetJob(ID, "", listOf(JobStep(1, Demand(1))))).decodeToString()) = send("POST", "/q/$ID", body)
+
+    private fun encodeJob(job: FleetJob) = dandelionpoint.platform.encodeJob(job)
+
+    fun send(method: String, path: String, body: String = "") {
+        val head = "$method $path HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\nDeadline-Remaining-Ms: 1500\r\n\r\n"
+        socket.getOutputStream().apply { write((head + body).encodeToByteArray()) }.flush()
+    }
+
+    /** What the server sends until it closes the connection or pauses; empty if it closed at once. */
+    fun read(): String = ByteArray(4_096).let { buffer ->
+        socket.getInputStream().read(buffer).let {
+            if (it <
+                0
+            ) {
+                ""
+            } else {
+                String(buffer, 0, it)
+            }
+        }
+    }
+
+    override fun close() = socket.close()
+}
+
+private fun JobStep(count: Int, demand: Demand) = JobStep(count, demand, estimateMs = 60)
+
+private suspend fun served(front: ScriptedFront, test: suspend (PlatformClients, Int) -> Unit) {
+    val server = PlatformClients(front, CoroutineScope(Dispatchers.Default), ListenAddress(LOOPBACK, 0), readiness = null)
+    val port = server.start()
+    try {
+        test(server, port)
+    } finally {
+        server.stop()
+    }
+}
+
+internal class PlatformClientsTest :
+    DescribeSpec({
+        describe("the end of a planned stop") {
+            it("answers a request that was read before it and closes idle connections") {
+                val front = ScriptedFront()
+                served(front) { server, port ->
+                    Client(port).use { busy ->
+                        Client(port).use { idle ->
+                            busy.post()
+                            eventually(3.seconds) { server.open() shouldBe 1 }
+                            coroutineScope {
+                                val finishing = async(Dispatchers.Default) { server.finish(waitMs = 3_000) }
+                                idle.read() shouldBe ""
+                                front.outcome.complete(JobOutcome.Completed)
+                                busy.read() shouldStartWith "HTTP/1.1 200"
+                                finishing.await()
+                            }
+                        }
+                    }
+                }
+            }
+        }
+
+        describe("a client") {
+            it("that goes away has its job cancelled") {
+                val front = ScriptedFront()
+                served(front) { server, port ->
+                    val client = Client(port)
+                    client.post()
+                    eventually(3.seconds) { server.open() shouldBe 1 }
+                    client.close()
+                    eventually(3.seconds) {
+                        server.poll()
+                        front.cancelled shouldBe 1
+                    }
+                }
+            }
+
+            it("of a refused job is told that nothing ran and when to come back") {
+                served(ScriptedFront(CompletableDeferred(JobOutcome.NotRun("no room in time", 1_000)))) { _, port ->
+                    Client(port).use { client ->
+                        client.post()
+                        val answer = client.read()
+                        answer shouldStartWith "HTTP/1.1 503"
+                        answer shouldContain "Retry-After: 1"
+                    }
+                }
+            }
+
+            it("that sends what cannot be read, or an unknown path, is told so") {
+                served(ScriptedFront()) { _, port ->
+                    Client(port).use { client ->
+                        client.post("{")
+                        client.read() shouldStartWith "HTTP/1.1 400"
+                        client.send("GET", "/other/$ID")
+                        client.read() shouldStartWith "HTTP/1.1 404"
+                        client.send("GET", "/q/$ID")
+                        client.read() shouldStartWith "HTTP/1.1 410"
+                        client.send("GET", "/q/")
+                        client.read() shouldContain "\"pending\":12"
+                    }
+                }
+            }
+        }
+    })
