Rank workers that leave calls unanswered last, and shorten the start

Each answer made such a worker as good as others, so that it was chosen again at once, and each lost order cost 150 ms and more. Ruled out: cells changing hands (none did), entries dropped from the list. Change: for 1.5 s after an unanswered call a worker is the last choice, behind the rooms of other cells, and is not offered to other VMs.

Of a start's processor time, OkHttp's security providers and trust store, loaded for each worker's channel, and picocli's reading of all commands took the largest parts. Change: channels to the store and to workers are without TLS; a call of a process reads only that command.

--- a/src/main/kotlin/dandelionpoint/cli/Main.kt
+++ b/src/main/kotlin/dandelionpoint/cli/Main.kt
@@ -7,5 +7,5 @@
 fun main(vararg arguments: String) {
     // The library prints it on stdout, where callers expect the JSON of the commands.
     KotlinLoggingConfiguration.logStartupMessage = false
-    exitProcess(commandLine().execute(*arguments))
+    exitProcess(commandLine(arguments.firstOrNull()).execute(*arguments))
 }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -78,11 +78,11 @@
 
     fun runCount(): Int = synchronized(lock) { seats.values.sumOf { it.runs.size } }
 
-    /** Room that is free on usable workers, by pool. */
+    /** Room that is free on usable workers without doubt, by pool. */
     fun rooms(now: Long): Map<String, List<FreeRoom>> = synchronized(lock) {
         if (!acceptsRuns) return@synchronized emptyMap()
         seats.values
-            .filter { it.isUsable() && it.runs.size < it.trust.runLimit(now) && it.free().cpuMilli > 0 }
+            .filter { it.isUsable() && !it.trust.isDoubtful(now) && it.runs.size < it.trust.runLimit(now) && it.free().cpuMilli > 0 }
             .groupBy({ it.entry.pool }) { FreeRoom(it.free(), it.trust.speed.toFloat()) }
     }
 
@@ -94,19 +94,23 @@
         }
     }
 
-    /** Chooses a worker for [order] and occupies its room; null if it fits nowhere. */
-    fun place(order: RunOrder, now: Long): Placement? = synchronized(lock) {
+    /**
+     * Chooses a worker for [order] and occupies its room; null if it fits nowhere. A worker that left a call unanswered lately is chosen
+     * only if [allowDoubtful].
+     */
+    fun place(order: RunOrder, now: Long, allowDoubtful: Boolean = true): Placement? = synchronized(lock) {
         if (!acceptsRuns) return@synchronized null
-        val seat = seats.values.filter { it.fits(order, now) }.minByOrNull { cost(it, order) } ?: return@synchronized null
+        val fitting = seats.values.filter { it.fits(order, now) && (allowDoubtful || !it.trust.isDoubtful(now)) }
+        val seat = fitting.minByOrNull { cost(it, order, now) } ?: return@synchronized null
         val run = SeatedRun(order, now)
         seat.runs[order.task] = run
         extendLease(seat, now)
         Placement(seat.entry, order, seat.workerClock(now) + rules.leaseMs)
     }
 
-    private fun cost(seat: WorkerSeat, order: RunOrder): Long {
+    private fun cost(seat: WorkerSeat, order: RunOrder, now: Long): Long {
         val away = if (order.rack != null && order.rack !in seat.entry.labels) 2 else 1
-        val avoided = if (seat.entry.id == order.avoid) AVOID_COST_MS else 0
+        val avoided = if (seat.entry.id == order.avoid || seat.trust.isDoubtful(now)) AVOID_COST_MS else 0
         return seat.expectedMs(order) * away + avoided
     }
 
@@ -134,6 +138,7 @@
             }
 
             is StartOutcome.Unknown -> {
+                seat.trust.unanswered(now)
                 run.knownSince = now
                 if (run.state == RunState.ORDERED) run.state = RunState.UNCERTAIN
                 emptyList()
@@ -247,8 +252,12 @@
     }
 
     /** The worker left [plan] unanswered. */
-    fun onNoAnswer(plan: LeasePlan) {
-        synchronized(lock) { seats[plan.worker.id]?.isAnswering = false }
+    fun onNoAnswer(plan: LeasePlan, now: Long) {
+        synchronized(lock) {
+            val seat = seats[plan.worker.id] ?: return
+            seat.isAnswering = false
+            seat.trust.unanswered(now)
+        }
     }
 
     /** The worker's address belongs to another incarnation: its runs are gone. */
--- a/src/main/kotlin/dandelionpoint/platform/PlatformRows.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformRows.kt
@@ -31,7 +31,7 @@
 /** Client of the store at [address] (host:port). [timeoutMs] limits a call, without the time it is asked to wait. */
 internal class PlatformRows(address: String, threads: CallThreads, private val timeoutMs: Long = 1_500) : SharedRows {
     private val base = "http://$address".toHttpUrl()
-    private val channel = HttpChannel(HttpChannelSettings(connectTimeoutMs = 400, keepAliveMs = 30_000), threads)
+    private val channel = HttpChannel(HttpChannelSettings(connectTimeoutMs = 400, keepAliveMs = 30_000, isCleartext = true), threads)
 
     override suspend fun read(table: String, from: String, to: String): Either<StoreError, RowsRead> {
         val rows = mutableListOf<SharedRow>()
--- a/src/main/kotlin/dandelionpoint/platform/PlatformWorkers.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformWorkers.kt
@@ -154,7 +154,7 @@
     }
 
     private companion object {
-        val CHANNEL = HttpChannelSettings(connectTimeoutMs = 200, keepAliveMs = 60_000, maxIdleConnections = 6)
+        val CHANNEL = HttpChannelSettings(connectTimeoutMs = 200, keepAliveMs = 60_000, maxIdleConnections = 6, isCleartext = true)
         const val OK = 200
         const val BAD_REQUEST = 400
         const val CONFLICT = 409
--- a/src/main/kotlin/dandelionpoint/transport/http/HttpChannel.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/HttpChannel.kt
@@ -10,6 +10,7 @@
 import okhttp3.Call
 import okhttp3.Callback
 import okhttp3.ConnectionPool
+import okhttp3.ConnectionSpec
 import okhttp3.Dispatcher
 import okhttp3.MediaType
 import okhttp3.OkHttpClient
@@ -27,7 +28,8 @@
 
 /**
  * Limits of a channel. [connectTimeoutMs] limits the connection attempt, [keepAliveMs] how long an idle connection is kept,
- * [maxIdleConnections] their number, [maxBodyBytes] a response's body.
+ * [maxIdleConnections] their number, [maxBodyBytes] a response's body. A channel that [isCleartext] cannot use TLS; it is made without
+ * loading the security providers and the trust store, which takes longer than anything else in the start of a small VM.
  *
  * A request that is written to a connection just as the server closes it has an unknown outcome. The keep-alive is therefore short, 2 s,
  * against 60 s or more on the servers, so that the client closes idle connections first.
@@ -37,6 +39,7 @@
     val keepAliveMs: Long = 2_000,
     val maxIdleConnections: Int = 64,
     val maxBodyBytes: Long = 4L * 1024 * 1024,
+    val isCleartext: Boolean = false,
 )
 
 /** Threads for calls in flight, at most [maxCalls], shared by channels. Further calls wait, within their timeouts. */
@@ -135,6 +138,7 @@
         .writeTimeout(0, TimeUnit.MILLISECONDS)
         .connectionPool(ConnectionPool(settings.maxIdleConnections, settings.keepAliveMs, TimeUnit.MILLISECONDS))
         .dispatcher(threads.dispatcher)
+        .apply { if (settings.isCleartext) connectionSpecs(listOf(ConnectionSpec.CLEARTEXT)) }
         .eventListenerFactory { call -> WriteGateListener(checkNotNull(call.request().tag(WriteGate::class.java))) }
         .build()
 }
--- a/src/test/kotlin/dandelionpoint/cli/ClientCommandsTest.kt
+++ b/src/test/kotlin/dandelionpoint/cli/ClientCommandsTest.kt
@@ -32,7 +32,7 @@
     val out = StringWriter()
     val err = StringWriter()
     val line = CommandLine(Root())
-    clientCommands.forEach { line.addSubcommand(it) }
+    clientCommands.forEach { line.addSubcommand(it.create()) }
     line.setOut(PrintWriter(out, true)).setErr(PrintWriter(err, true))
     return Run(line.execute(*arguments), out.toString(), err.toString())
 }
@@ -157,7 +157,7 @@
             it("have an example for every command that does something") {
                 fun leaves(line: CommandLine): List<CommandLine> =
                     if (line.subcommands.isEmpty()) listOf(line) else line.subcommands.values.flatMap { leaves(it) }
-                clientCommands.filterIsInstance<Any>().dropLast(1).flatMap { leaves(CommandLine(it)) }.forEach {
+                clientCommands.dropLast(1).flatMap { leaves(CommandLine(it.create())) }.forEach {
                     it.usageMessage shouldContain "Example"
                 }
                 run("generate-completion").out shouldContain "preset activate"
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/CellTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/CellTest.kt
@@ -130,7 +130,7 @@
                 val cell = Cell("akl-a", TOKEN).apply { know("w") }
                 cell.started(order())
                 val plan = checkNotNull(cell.planLease("w", 100))
-                cell.onNoAnswer(plan)
+                cell.onNoAnswer(plan, 100)
                 val again = checkNotNull(cell.planLease("w", 900))
                 again.call.leaseUntilMs.shouldBeNull()
                 cell.tick(1_090).ends().shouldBeEmpty()
@@ -140,11 +140,39 @@
             it("gets no further runs") {
                 val cell = Cell("akl-a", TOKEN).apply { know("w") }
                 cell.started(order())
-                cell.onNoAnswer(checkNotNull(cell.planLease("w", 100)))
+                cell.onNoAnswer(checkNotNull(cell.planLease("w", 100)), 100)
                 cell.place(order("b"), 110).shouldBeNull()
             }
         }
 
+        describe("a worker that answers only some calls") {
+            fun unreliable() = Cell("akl-a", TOKEN).apply {
+                know("w", "sound")
+                val lost = placed(order("lost"))
+                lost.worker.id shouldBe "w"
+                onStart(lost, StartOutcome.Unknown("reset"), 10)
+            }
+
+            it("is the last choice, since each lost order there costs the time of a timeout") {
+                val cell = unreliable()
+                List(3) { cell.placed(order("later", index = it), now = 20).worker.id } shouldBe listOf("sound", "sound", "w")
+            }
+
+            it("is not offered to other VMs, which could not tell it from a sound one") {
+                val cell = unreliable()
+                cell.rooms(20).getValue(POOL) shouldHaveSize 1
+                repeat(2) { cell.placed(order("later", index = it), now = 20) }
+                cell.place(order("more"), now = 20, allowDoubtful = false).shouldBeNull()
+            }
+
+            it("is as good as others once it has answered for a while") {
+                val cell = unreliable()
+                val later = 10 + RULES.doubtMs
+                cell.rooms(later).getValue(POOL) shouldHaveSize 2
+                cell.placed(order("later"), later).worker.id shouldBe "w"
+            }
+        }
+
         describe("a run") {
             it("that stands still is stopped, and its end is reported only when the worker lists it") {
                 val cell = Cell("akl-a", TOKEN).apply { know("w") }
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
@@ -161,9 +161,9 @@
 
     private fun lease(id: String) {
         val plan = cell.planLease(id, now) ?: return
-        if (chance(faults.lostCall)) return cell.onNoAnswer(plan)
+        if (chance(faults.lostCall)) return cell.onNoAnswer(plan, now)
         val report = report(workers.getValue(id), plan.call)
-        if (chance(faults.lostAnswer)) cell.onNoAnswer(plan) else cells(cell.onReport(plan, report, now))
+        if (chance(faults.lostAnswer)) cell.onNoAnswer(plan, now) else cells(cell.onReport(plan, report, now))
     }
 
     private fun report(target: VirtualWorker, call: LeaseCall): LeaseReport {
