--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -86,9 +86,9 @@
             .groupBy({ it.entry.pool }) { FreeRoom(it.free(), it.trust.speed.toFloat()) }
     }
 
-    /** Cores of the usable workers by pool, for estimates of the waiting time. */
+    /** Cores of the workers by pool that are usable, or will be once their first list has come, for estimates of the waiting time. */
     fun cores(): Map<String, Int> = synchronized(lock) {
-        seats.values.filter { it.isUsable() }.groupBy { it.entry.pool }.mapValues { (_, same) ->
+        seats.values.filter { it.isUsable() || it.isExpected() }.groupBy { it.entry.pool }.mapValues { (_, same) ->
             same.sumOf { it.entry.capacity.cpuMilli } /
                 MILLI
         }
@@ -121,8 +121,7 @@
         when (outcome) {
             is StartOutcome.Started -> {
                 seat.readClock(outcome.clockMs, now)
-                run.knownSince = now
-                if (run.state == RunState.ORDERED) run.state = RunState.RUNNING
+                run.seenRunning(now)
                 emptyList()
             }
 
@@ -215,8 +214,8 @@
 
     private fun takeRunning(seat: WorkerSeat, row: RunningRow, now: Long): List<CellEvent> {
         val run = seat.runs[row.run.task]?.takeIf { it.order.run == row.run }
+        run?.seenRunning(now)
         if (run == null || run.state == RunState.STOPPING) return listOf(CellEvent.Stop(seat.entry, row.run))
-        run.state = RunState.RUNNING
         if (!seat.isStuck(run, row.percent, now)) return emptyList()
         seat.trust.eject(now)
         run.state = RunState.STOPPING
@@ -227,7 +226,8 @@
     private fun missing(seat: WorkerSeat, plan: LeasePlan, report: LeaseReport, now: Long): List<CellEvent> {
         val present = report.running.map { it.run }.toSet()
         return seat.runs.values.filter { it.order.run !in present && it.knownSince < plan.sentAt }.map { run ->
-            if (run.state == RunState.UNCERTAIN) {
+            if (!run.hasStarted && !run.isStopConfirmed) {
+                // The order may still arrive.
                 CellEvent.Stop(seat.entry, run.order.run)
             } else {
                 seat.trust.eject(now, UNREACHABLE_MS)
@@ -237,12 +237,10 @@
     }
 
     /** The worker has confirmed the stop of [run]: it does not run there and will not. */
-    fun onStopped(workerId: String, run: TaskRun): List<CellEvent> = synchronized(lock) {
+    fun onStopped(workerId: String, run: TaskRun, now: Long): List<CellEvent> = synchronized(lock) {
         val seat = seats[workerId] ?: return@synchronized emptyList()
         val seated = seat.runs[run.task]?.takeIf { it.order.run == run } ?: return@synchronized emptyList()
-        // If the run had started, its end is still to be listed, and its room is free only then.
-        seated.state = RunState.STOPPING
-        seated.knownSince = 0
+        seated.stopConfirmed(now)
         emptyList()
     }
 
--- a/src/main/kotlin/dandelionpoint/fleet/CellKeeper.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellKeeper.kt
@@ -115,7 +115,7 @@
 
     private suspend fun stop(worker: WorkerEntry, run: TaskRun) {
         val isConfirmed = port.stop(worker, run, cell.token, rules.answerMarginMs)
-        if (isConfirmed) handle(cell.onStopped(worker.id, run))
+        if (isConfirmed) handle(cell.onStopped(worker.id, run, clock.millis()))
     }
 
     private suspend fun attend(id: String, signal: Channel<Unit>) {
