--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -182,9 +182,6 @@
     fun waitingJobs(): Map<String, Int> =
         synchronized(lock) { jobs.values.filter { !it.hasStarted }.groupingBy { it.queue.name }.eachCount() }
 
-    /** Earliest time at which [schedule] has something to do without other events, or null. */
-    fun hasWaiting(now: Long): Boolean = synchronized(lock) { jobs.values.any { it.waiting(now).isNotEmpty() } }
-
     private companion object {
         /** After this many jobs without room, the pass ends. */
         const val MAX_MISSES = 16
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -95,7 +95,7 @@
     }
 
     private suspend fun lend(order: RunOrder, vm: VmIdentity, place: RunPlace.Remote) {
-        val loan = with(order) { RunLoan(place.cell, run, payload, pool, demand, estimateMs, requiredLabel) }
+        val loan = with(order) { RunLoan(place.cell, run, payload, pool, demand, estimateMs, requiredLabel, rack, maxPerWorker) }
         var mayHaveArrived = false
         while (true) {
             when (val reply = link.call(vm, loan, LOAN_TIMEOUT_MS)) {
--- a/src/main/kotlin/dandelionpoint/fleet/LentRuns.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/LentRuns.kt
@@ -35,7 +35,7 @@
     }
 
     private fun order(from: VmIdentity, loan: RunLoan) = with(loan) {
-        RunOrder(run, from.incarnation, pool, payload, demand, estimateMs, requiredLabel)
+        RunOrder(run, from.incarnation, pool, payload, demand, estimateMs, requiredLabel, rack, maxPerWorker)
     }
 
     /** A run for the VM with the incarnation [origin] has ended. */
--- a/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
@@ -63,6 +63,8 @@
     val demand: Demand,
     val estimateMs: Long,
     val requiredLabel: String? = null,
+    val rack: String? = null,
+    val maxPerWorker: Int = 0,
 ) : FleetMessage
 
 /** Reply to [RunLoan]. */
