Let a task return to workers that refused it

Cause: a task that a worker refused (429, no connection) avoided that worker for good. Once every worker had refused it, it waited for its deadline, and all tasks behind it on the VM with it. Ruled out: the exchange of slots after a kill. Change: a task avoids a worker that refused it for 100 ms, and one that failed it or is slow with it for 5 s. DispatcherTest failed first (the job ended as failed at its deadline).

--- a/src/main/kotlin/dandelionpoint/coordination/dispatch/Dispatcher.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/dispatch/Dispatcher.kt
@@ -95,7 +95,7 @@
                 queues.putBack(task)
                 continue
             }
-            val reservation = placement.place(item.demand(task.index))
+            val reservation = placement.place(item.demand(task.index, clock.millis()))
             if (reservation == null) {
                 item.job.taskNotStarted()
                 queues.putBack(task)
@@ -151,8 +151,9 @@
     }
 
     private suspend fun onNotStarted(item: WorkItem, task: QueuedTask, reservation: Reservation) {
-        item.avoid(task.index, reservation.worker.id)
-        delay(NOT_STARTED_PAUSE_MS * item.refusals(task.index))
+        val nowMs = clock.millis()
+        item.avoid(task.index, reservation.worker.id, nowMs + REFUSED_AVOID_MS)
+        delay(NOT_STARTED_PAUSE_MS * item.avoided(task.index, nowMs).size)
         item.job.taskNotStarted()
         queues.putBack(task)
     }
@@ -163,7 +164,7 @@
             return
         }
         if (mayRepeat(item) && budgets.retries.tryTake()) {
-            item.avoid(task.index, failure.reservation.worker.id)
+            item.avoid(task.index, failure.reservation.worker.id, clock.millis() + FAILED_AVOID_MS)
             queues.putBack(task)
             return
         }
@@ -179,11 +180,11 @@
      */
     private suspend fun hedge(item: WorkItem, task: QueuedTask, first: Reservation) {
         val p95Ms = first.expectedMs * HEDGE_FACTOR
-        item.avoid(task.index, first.worker.id)
+        item.avoid(task.index, first.worker.id, clock.millis() + FAILED_AVOID_MS)
         while (item.calls.get() < MAX_CALLS) {
             if (withTimeoutOrNull(p95Ms.toLong() + 1) { item.job.done.await() } != null) return
             if (!mayHedge(item, p95Ms)) continue
-            placement.place(item.demand(task.index))?.let { second -> scope.launch { sendCopy(item, task, second) } }
+            placement.place(item.demand(task.index, clock.millis()))?.let { second -> scope.launch { sendCopy(item, task, second) } }
         }
     }
 
@@ -204,7 +205,7 @@
             placement.complete(second, CallOutcome.NotStarted("the request has ended", unreachable = false), 0.0)
             return
         }
-        item.avoid(task.index, second.worker.id)
+        item.avoid(task.index, second.worker.id, clock.millis() + FAILED_AVOID_MS)
         val outcome = call(item, task.index, second).outcome
         if (outcome is CallOutcome.Answered) item.job.taskAnswered(task.index, outcome.body)
         if (outcome is CallOutcome.NotStarted) item.job.taskNotStarted()
@@ -224,6 +225,12 @@
         /** A call outlasts its job's deadline by this, so that its slot stays accounted for while the worker ends the task. */
         const val LATE_ANSWER_MS = 1_000L
 
+        /** How long a task avoids a worker that was full or could not be reached, in ms. */
+        const val REFUSED_AVOID_MS = 100L
+
+        /** How long a request avoids a worker that failed it or is slow with it, in ms. */
+        const val FAILED_AVOID_MS = 5_000L
+
         /** Pause for each worker that did not take a task, so that a full cluster is not asked in a tight loop. */
         const val NOT_STARTED_PAUSE_MS = 2L
 
--- a/src/main/kotlin/dandelionpoint/coordination/dispatch/WorkItem.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/dispatch/WorkItem.kt
@@ -11,7 +11,8 @@
  * once: an idempotent request without an id. [traceParent] is the W3C trace context of the caller's span.
  */
 internal class WorkItem(val job: Job, val queued: QueuedJob, val isRepeatable: Boolean = false, val traceParent: String? = null) {
-    private val avoided = ConcurrentHashMap<Int, Set<String>>()
+    /** By task: workers to avoid, each until a time on the VM's monotonic clock, in ms. */
+    private val avoided = ConcurrentHashMap<Int, Map<String, Long>>()
 
     /** Calls of a request that have not ended. */
     val callsInFlight = AtomicInteger()
@@ -19,20 +20,20 @@
     /** Calls of a request so far. */
     val calls = AtomicInteger()
 
-    /** Keeps task [index] away from a worker that refused it or failed it. */
-    fun avoid(index: Int, workerId: String) {
-        avoided.merge(index, setOf(workerId)) { old, new -> old + new }
+    /** Keeps task [index] away from a worker that refused it or failed it, until [untilMs]: it may be all that is left by then. */
+    fun avoid(index: Int, workerId: String, untilMs: Long) {
+        avoided.merge(index, mapOf(workerId to untilMs)) { old, new -> old + new }
     }
 
-    /** Number of workers that did not take task [index]. */
-    fun refusals(index: Int): Int = avoided[index]?.size ?: 0
+    /** Workers that task [index] avoids at [nowMs]. */
+    fun avoided(index: Int, nowMs: Long): Set<String> = avoided[index]?.filterValues { nowMs < it }?.keys.orEmpty()
 
-    /** What task [index] needs. */
-    fun demand(index: Int) = TaskDemand(
+    /** What task [index] needs at [nowMs]. */
+    fun demand(index: Int, nowMs: Long) = TaskDemand(
         taskClass = job.submission.taskClass,
         declaredMs = job.submission.tasks[index].declaredMs,
         memoryMb = job.submission.memoryMb,
         retryable = isRepeatable,
-        avoid = avoided[index].orEmpty(),
+        avoid = avoided(index, nowMs),
     )
 }
