Give up a killed previous owner of a shard early

Cause of the known red entry (EndToEndTest, "an entry VM that is killed while it runs jobs"): the killed VM had just handed a shard over and was still running its last ids there. The next owner passed calls for these ids on to it for 60 s, although it was dead, so that a caller that waits 15 s got no answer for 24 s. The state QUEUED in the report was the answer to the submission, not the job's later state. Change: a previous owner that is not among the live VMs, draining ones included, for 3 s is given up like one that does not complete in 60 s: its epoch is closed in the table first, so that it writes no more records, and what it started is unknown. ShardOwnershipTest failed first.

--- a/src/main/kotlin/dandelionpoint/coordination/ownership/OwnershipSettings.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/ownership/OwnershipSettings.kt
@@ -41,6 +41,8 @@
     val previousStartMs: Long = 5_000,
     /** The new owner gives up on a previous owner that has not completed its epoch after this time. */
     val previousTimeoutMs: Long = 60_000,
+    /** It gives up this early on a previous owner that is not among the live VMs for this long. */
+    val previousAbsentMs: Long = 3_000,
     val releaseTimeoutMs: Long = 40_000,
     val balanceEveryMs: Long = 3_000,
     /** Reads a second that all VMs together may spend on recovery. */
--- a/src/main/kotlin/dandelionpoint/coordination/ownership/RowKeeper.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/ownership/RowKeeper.kt
@@ -27,6 +27,7 @@
     val clock: Clock,
     val writer: ConditionalWriter,
     val reader: RecordReader,
+    val isPresent: (VmIdentity) -> Boolean,
     val nextWriteId: () -> String,
 )
 
@@ -39,6 +40,7 @@
     private var triedNs = 0L
     private var releasedNs: Long? = null
     private var previousSinceNs: Long? = null
+    private var previousPresentNs: Long? = null
     private var previousLoad: Deferred<Boolean>? = null
 
     suspend fun run(scope: CoroutineScope) {
@@ -114,6 +116,7 @@
         triedNs = askedNs
         releasedNs = null
         previousSinceNs = null
+        previousPresentNs = null
         previousLoad = null
         shard.acquire(rules.grantOf(row, version, askedNs))
         logger.info { "shard ${shard.number}: owner under epoch ${row.epoch}, floor ${row.floor}, previous ${row.previous?.name}" }
@@ -182,6 +185,8 @@
     /** Reads whether the previous owner has completed its epoch, and takes over the ids below the floor then. */
     private suspend fun resolvePrevious(grant: Grant, previous: VmIdentity, scope: CoroutineScope) {
         val since = previousSinceNs ?: context.clock.nanos().also { previousSinceNs = it }
+        val presentNs = previousPresentNs?.takeUnless { context.isPresent(previous) } ?: context.clock.nanos()
+        previousPresentNs = presentNs
         val epoch = grant.row.epoch - 1
         val state = context.writer.read(epochKey(epoch)).getOrElse { return }
         val value = state?.value?.let { ownershipJson.decodeFromString<EpochState>(it) } ?: EpochState.CLOSED
@@ -193,7 +198,7 @@
             EpochState.CLOSED -> writeRow(grant, rules.previousLost(grant.row)) { it }
 
             EpochState.OPEN ->
-                if (sinceMs(since) > settings.previousTimeoutMs) {
+                if (sinceMs(since) > settings.previousTimeoutMs || sinceMs(presentNs) > settings.previousAbsentMs) {
                     logger.warn { "shard ${shard.number}: previous owner ${previous.name} did not complete epoch $epoch" }
                     val checks = listOf(Check(epochKey(epoch), EPOCH_OPEN_VERSION))
                     writeRow(grant, rules.previousLost(grant.row), checks, listOf(epochPut(epoch, EpochState.CLOSED))) { it }
--- a/src/main/kotlin/dandelionpoint/coordination/ownership/ShardOwnership.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/ownership/ShardOwnership.kt
@@ -41,8 +41,12 @@
     private val writer = ConditionalWriter(table, settings.callTimeoutMs)
     private val reader = RecordReader(table, objects, settings) { (watcher.live + self).size }
     private val writeIdPrefix = "${self.incarnation}-${random.nextInt().toUInt()}"
+
+    /** VMs that answer heartbeats, draining ones included. */
+    @Volatile
+    private var present: Set<VmIdentity> = emptySet()
     private val context =
-        ShardContext(self, rules, settings, clock, writer, reader) { "$writeIdPrefix-${writeCount.incrementAndGet()}" }
+        ShardContext(self, rules, settings, clock, writer, reader, { it in present }) { "$writeIdPrefix-${writeCount.incrementAndGet()}" }
     private val watcher: RowWatcher = RowWatcher(shards, table, context)
     private val cleaner = RecordCleaner(shards, table, context)
     private val keepers = shards.map { RowKeeper(it, context) }
@@ -189,9 +193,10 @@
         is RecordEntry.Finished -> Lookup.Finished(reader.withResults(entry))
     }
 
-    /** Sets the VMs that can own shards: those that answer heartbeats and are not draining. This VM is always counted. */
-    fun updatePeers(live: Set<VmIdentity>) {
+    /** Sets the VMs that answer heartbeats: [live] ones, which can own shards, and [draining] ones. This VM is always counted. */
+    fun updatePeers(live: Set<VmIdentity>, draining: Set<VmIdentity> = emptySet()) {
         watcher.live = live
+        present = live + draining
     }
 
     /** Runs the loops that read, take, renew and hand over shards and write records, until cancelled. */
--- a/src/main/kotlin/dandelionpoint/entry/EntryVm.kt
+++ b/src/main/kotlin/dandelionpoint/entry/EntryVm.kt
@@ -19,6 +19,7 @@
 import dandelionpoint.coordination.job.LocalJobs
 import dandelionpoint.coordination.membership.Membership
 import dandelionpoint.coordination.membership.MembershipSettings
+import dandelionpoint.coordination.membership.PeerHealth
 import dandelionpoint.coordination.ownership.ShardOwnership
 import dandelionpoint.observability.Metrics
 import dandelionpoint.observability.Tracing
@@ -220,11 +221,10 @@
         membership.forgetDead()
         queues.retainPeers(membership.members().map { it.incarnation }.toSet())
         placement.updatePeers(self, membership.members() + self)
-        ownership.updatePeers(
-            membership.peers().filter {
-                it.state != ServingState.DRAINING
-            }.map { it.vm }.toSet().intersect(membership.members()),
-        )
+        val (draining, live) = membership.peers()
+            .filter { it.health != PeerHealth.DEAD }
+            .partition { it.state == ServingState.DRAINING }
+        ownership.updatePeers(live.map { it.vm }.toSet(), draining.map { it.vm }.toSet())
     }
 
     private fun every(periodMs: Long, action: suspend () -> Unit): Job = scope.launch {
--- a/src/test/kotlin/dandelionpoint/coordination/ownership/ShardOwnershipTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/ownership/ShardOwnershipTest.kt
@@ -196,6 +196,23 @@
             }
         }
 
+        describe("a previous owner that is killed while its last ids run") {
+            it("is given up as fast as an owner, so that callers of these ids are told that they are lost") {
+                val cluster = SimulatedCluster()
+                val a = cluster.boot("a")
+                cluster.run(1_000)
+                val b = cluster.boot("b")
+                val running = cluster.newId()
+                a.submitNow(running) shouldBe StartDecision.Start
+                a.stop()
+                cluster.run(5_000)
+                b.lookupNow(running) shouldBe Lookup.Forward(a.identity)
+                a.kill()
+                cluster.run(8_000)
+                b.lookupNow(running) shouldBe Lookup.OwnerLost
+            }
+        }
+
         describe("an intent that becomes durable after a handover") {
             it("starts nothing, since the next owner may have read the intents before it") {
                 val cluster = SimulatedCluster(settings = OwnershipSettings(shards = 1, mode = StartMode.COMMIT))
--- a/src/test/kotlin/dandelionpoint/coordination/ownership/SimulatedCluster.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/ownership/SimulatedCluster.kt
@@ -60,8 +60,8 @@
 
     /** Tells all VMs which of them are alive. */
     fun announce() {
-        val live = vms.filter { !it.isDead && !it.isStopping && !it.isPaused }.map { it.identity }.toSet()
-        vms.forEach { it.ownership.updatePeers(live) }
+        val (stopping, live) = vms.filter { !it.isDead && !it.isPaused }.partition { it.isStopping }
+        vms.forEach { vm -> vm.ownership.updatePeers(live.map { it.identity }.toSet(), stopping.map { it.identity }.toSet()) }
     }
 
     fun run(ms: Long) {
