Look at workers early only while their answers come fast

Change: the early look and the shorter lease calls need answers that come fast, by smoothed mean and deviation (RFC 6298).

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/AnswerTimes.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/AnswerTimes.kt
@@ -1,37 +1,26 @@
 /*
- * How long answers of workers usually take, as their keeper sees it, to tell a lost answer from a slow one. Smoothed mean and deviation
- * as in RFC 6298. A keeper that has just started, or that runs slowly itself, waits longer before it takes an answer for lost.
+ * How long answers of workers take, as their keeper sees it, to tell a lost answer from a slow one. A keeper that has just started, or
+ * that runs slowly itself, gets slow answers: it must not take them for lost and make more calls.
  */
 package dandelionpoint.coordination.fleet
 
 import kotlin.math.abs
 
-/** Times of the answers to one keeper. Thread-safe. */
+/** Times of the answers to one keeper: smoothed mean and deviation as in RFC 6298. Thread-safe. */
 internal class AnswerTimes(private val rules: FleetRules) {
-    private var meanMs = 0.0
-    private var deviationMs = 0.0
-    private var hasSample = false
+    private var meanMs = rules.overdueMs.toDouble()
+    private var deviationMs = meanMs / 2
 
-    /** An answer came after [elapsedMs]. */
+    /** An answer came after [elapsedMs], or was given up after that time. */
     @Synchronized
     fun add(elapsedMs: Long) {
-        if (hasSample) {
-            deviationMs += DEVIATION_WEIGHT * (abs(elapsedMs - meanMs) - deviationMs)
-            meanMs += MEAN_WEIGHT * (elapsedMs - meanMs)
-        } else {
-            meanMs = elapsedMs.toDouble()
-            deviationMs = meanMs / 2
-            hasSample = true
-        }
+        deviationMs += DEVIATION_WEIGHT * (abs(elapsedMs - meanMs) - deviationMs)
+        meanMs += MEAN_WEIGHT * (elapsedMs - meanMs)
     }
 
-    /** An answer that takes longer than this, in ms, is overdue. */
-    @Synchronized
-    fun overdueMs(): Long = if (hasSample) {
-        (meanMs + DEVIATIONS * deviationMs).toLong().coerceIn(rules.overdueMinMs, rules.startTimeoutMs)
-    } else {
-        rules.startTimeoutMs
-    }
+    /** True if an answer that is overdue has almost certainly been lost. */
+    @get:Synchronized
+    val areFast: Boolean get() = meanMs + DEVIATIONS * deviationMs <= rules.overdueMs
 
     private companion object {
         const val MEAN_WEIGHT = 1.0 / 8
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -40,7 +40,10 @@
     private val seats = LinkedHashMap<String, WorkerSeat>()
     private val unreleased = mutableSetOf<String>()
     private var acceptsRuns = true
-    private val leases = LeasePlanner(token, rules)
+    private val leases = LeasePlanner(token, rules, areAnswersFast = { answers.areFast })
+
+    /** Times of the answers to the calls that the keeper has sent. */
+    val answers = AnswerTimes(rules)
 
     /** Takes the list of the cell's workers. Workers that left it end their runs once their lease has expired. */
     fun updateWorkers(entries: List<WorkerEntry>) = synchronized(lock) {
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/FleetRules.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/FleetRules.kt
@@ -6,10 +6,10 @@
  * @property leaseMs length of a worker's lease, the most that workers grant
  * @property renewMs longest wait for an end before the lease is renewed
  * @property leaseMarginMs a run counts as ended this long after its lease has expired
- * @property troubledRenewMs the same for [troubleMs] after a call of the cell's keeper was lost, so that a loss hides few ends
+ * @property troubledRenewMs the same for [troubleMs] after a call was lost, so that a further loss hides few ends; not for slow keepers
  * @property troubleMs how long a lost call makes the keeper wait less
  * @property startTimeoutMs longest wait for the answer to a start
- * @property overdueMinMs no answer is overdue earlier than this; the worker's list of runs is then asked for
+ * @property overdueMs an answer is overdue after this time if answers come fast; the worker's list of runs is then asked for
  * @property answerMarginMs longest wait for an answer beyond the time that the worker was asked to wait
  * @property stuckGraceMs a run is never judged as stuck earlier than this
  * @property stuckFactor a run is stuck if it would take this many times the expected run time
@@ -25,7 +25,7 @@
     val troubledRenewMs: Int = 100,
     val troubleMs: Long = 5_000,
     val startTimeoutMs: Long = 150,
-    val overdueMinMs: Long = 60,
+    val overdueMs: Long = 60,
     val answerMarginMs: Long = 250,
     val stuckGraceMs: Long = 150,
     val stuckFactor: Double = 3.0,
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/LeasePlanner.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/LeasePlanner.kt
@@ -1,6 +1,7 @@
 /*
  * What the next lease call to a worker says: it renews the lease while there are runs, acknowledges handled ends, and learns the list of
- * runs of a worker that is new. After a lost call the keeper waits less in each call, so that a further loss hides few ends.
+ * runs of a worker that is new. After a lost call the keeper waits less in each call, so that a further loss hides few ends, unless it gets
+ * slow answers: then more calls would make it slower still.
  */
 package dandelionpoint.coordination.fleet
 
@@ -11,7 +12,7 @@
 internal data class LeasePlan(val worker: WorkerEntry, val call: LeaseCall, val sentAt: Long)
 
 /** Plans the lease calls under [token]. Not thread-safe. Times are in ms on the VM's monotonic clock. */
-internal class LeasePlanner(private val token: Long, private val rules: FleetRules) {
+internal class LeasePlanner(private val token: Long, private val rules: FleetRules, private val areAnswersFast: () -> Boolean) {
     private var callLostAt = Long.MIN_VALUE / 2
 
     /** A call to a worker was lost. */
@@ -43,7 +44,7 @@
 
     private fun waitMs(seat: WorkerSeat, now: Long): Int = when {
         seat.runs.values.any { it.state == RunState.UNCERTAIN } -> 0
-        now - callLostAt < rules.troubleMs -> rules.troubledRenewMs
+        now - callLostAt < rules.troubleMs && areAnswersFast() -> rules.troubledRenewMs
         else -> rules.renewMs
     }
 
--- a/src/main/kotlin/dandelionpoint/fleet/CellKeeper.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellKeeper.kt
@@ -3,7 +3,6 @@
  */
 package dandelionpoint.fleet
 
-import dandelionpoint.coordination.fleet.AnswerTimes
 import dandelionpoint.coordination.fleet.Cell
 import dandelionpoint.coordination.fleet.CellEvent
 import dandelionpoint.coordination.fleet.FleetRules
@@ -21,6 +20,7 @@
 import dandelionpoint.protocol.millis
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
@@ -54,7 +54,6 @@
 ) {
     private val life = SupervisorJob(vmScope.coroutineContext[Job])
     private val scope = CoroutineScope(vmScope.coroutineContext + life)
-    private val answers = AnswerTimes(rules)
     private val signals = ConcurrentHashMap<String, Channel<Unit>>()
 
     /** Takes the cell's workers and attends to new ones. */
@@ -90,15 +89,9 @@
 
     /** Sends [order]. The worker's list is looked at as soon as the answer is overdue; the answer still counts when it comes. */
     private suspend fun answerOf(placement: Placement, order: StartOrder): StartOutcome = coroutineScope {
-        val sentAt = clock.millis()
-        val answer = async {
-            port.start(placement.worker, order, rules.startTimeoutMs).also {
-                if (it is StartOutcome.Started) {
-                    answers.add(clock.millis() - sentAt)
-                }
-            }
-        }
-        withTimeoutOrNull(answers.overdueMs()) { answer.await() } ?: run {
+        val answer = async { timedStart(placement.worker, order) }
+        val early = if (cell.answers.areFast) withTimeoutOrNull(rules.overdueMs) { answer.await() } else answer.await()
+        early ?: run {
             cell.callLost(clock.millis())
             handle(cell.onStart(placement, StartOutcome.Unknown("overdue"), clock.millis()))
             scope.launch { look(placement.worker.id) }
@@ -106,6 +99,13 @@
         }
     }
 
+    private suspend fun timedStart(worker: WorkerEntry, order: StartOrder): StartOutcome {
+        val sentAt = clock.millis()
+        val outcome = port.start(worker, order, rules.startTimeoutMs)
+        if (outcome !is StartOutcome.NotSent) cell.answers.add(clock.millis() - sentAt)
+        return outcome
+    }
+
     /** Asks for the worker's list of runs and takes it. Returns false if no answer came. */
     private suspend fun look(workerId: String): Boolean {
         delay(LOOK_DELAY_MS)
@@ -205,18 +205,16 @@
     /** Sends the call of [plan]. Returns null if its answer was overdue and the worker has answered a later look. */
     private suspend fun answerOf(plan: LeasePlan): LeaseOutcome? = coroutineScope {
         val answer = async { port.lease(plan.worker, plan.call, plan.call.waitMs + rules.answerMarginMs) }
-        val early = withTimeoutOrNull(plan.call.waitMs + answers.overdueMs()) { answer.await() }
-        if (early == null) cell.callLost(clock.millis())
-        when {
-            early != null -> early
-
-            plan.call.leaseUntilMs != null && look(plan.worker.id) -> {
-                answer.cancel()
-                null
-            }
+        val mayLook = plan.call.leaseUntilMs != null && cell.answers.areFast
+        val early = if (mayLook) withTimeoutOrNull(plan.call.waitMs + rules.overdueMs) { answer.await() } else answer.await()
+        early ?: lookInstead(plan, answer)
+    }
 
-            else -> answer.await()
-        }
+    private suspend fun lookInstead(plan: LeasePlan, answer: Deferred<LeaseOutcome>): LeaseOutcome? {
+        cell.callLost(clock.millis())
+        if (!look(plan.worker.id)) return answer.await()
+        answer.cancel()
+        return null
     }
 
     private companion object {
--- a/src/test/kotlin/dandelionpoint/fleet/CellKeeperTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/CellKeeperTest.kt
@@ -29,7 +29,7 @@
 private const val HOP_MS = 1L
 
 /** Runs by which a keeper knows how fast its workers answer. */
-private const val WARM_UP_RUNS = 5
+private const val WARM_UP_RUNS = 20
 
 /** Time in which the worker's first list has come. */
 private const val LIST_MS = 20L
