Wait for open calls before an entry VM ends

A call that waits for a job of another VM was still open when the process ended, and got status 500. Change: the drain also waits for calls that have not been answered, at most its usual limit. Ruled out: the jobs themselves, which all ran.

--- a/src/main/kotlin/dandelionpoint/entry/EntryVm.kt
+++ b/src/main/kotlin/dandelionpoint/entry/EntryVm.kt
@@ -104,6 +104,7 @@
     private lateinit var configuration: ConfigurationService
     private lateinit var ownership: ShardOwnership
     private lateinit var jobs: LocalJobs
+    private lateinit var routes: JobRoutes
     private lateinit var peers: PeerService
     private lateinit var api: ApiServer
 
@@ -165,7 +166,7 @@
         jobs = LocalJobs(scope, parts)
         val router = JobRouter(jobs, network, clock) { ownership.ownerOf(it) }
         peers = PeerService(PeerParts(membership, queues, placement, configuration, router) { dispatcher.signal() })
-        val routes = JobRoutes(scope, JobRouteParts(router, jobs, tokens, metrics, tracing) { state() == ServingState.STARTING })
+        routes = JobRoutes(scope, JobRouteParts(router, jobs, tokens, metrics, tracing) { state() == ServingState.STARTING })
         val operators = OperatorRoutes(tokens, placement) { scope.launch { drain() } }
         val admin = AdminRoutes(configuration, tokens, scope)
         api = ApiServer(settings.limits, routes, HealthParts(::state, metrics)) { config ->
@@ -242,7 +243,7 @@
         peers.sendHeartbeats(network, state())
         val endMs = clock.millis() + settings.limits.drainMs
         val release = scope.launch { ownership.releaseAll() }
-        while ((jobs.active() > 0 || release.isActive) && clock.millis() < endMs) delay(DRAIN_POLL_MS)
+        while ((jobs.active() > 0 || routes.openCalls() > 0 || release.isActive) && clock.millis() < endMs) delay(DRAIN_POLL_MS)
         delay(DRAIN_SETTLE_MS)
         membership.peers().forEach { network.send(it.vm, PeerMessage.Goodbye) }
         delay(DRAIN_POLL_MS)
--- a/src/main/kotlin/dandelionpoint/transport/http/JobRoutes.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/JobRoutes.kt
@@ -28,6 +28,7 @@
 import kotlinx.coroutines.future.future
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import java.util.concurrent.atomic.AtomicInteger
 
 /** The answer of a request. */
 @Serializable
@@ -45,6 +46,11 @@
 
 /** Routes of the callers' interface. */
 internal class JobRoutes(private val scope: CoroutineScope, private val parts: JobRouteParts) {
+    private val open = AtomicInteger()
+
+    /** Calls that have not been answered, those that wait for a job of another VM included. */
+    fun openCalls(): Int = open.get()
+
     /** Adds the routes to [config]. */
     fun addTo(config: JavalinConfig) {
         config.routes.post("/v1/jobs") { answer(it, "job") { context -> submit(context) } }
@@ -105,6 +111,7 @@
         }
         val span = parts.tracing.start("$kind request", SpanKind.SERVER, context.header("traceparent"))
         val call = HttpCall(context, caller, span.traceParent ?: context.header("traceparent"))
+        open.incrementAndGet()
         context.future {
             scope.future {
                 val result = handle(call)
@@ -113,6 +120,7 @@
                 parts.metrics.answered(kind, code, (System.nanoTime() - startNs) / NANOS_PER_MS)
                 result
             }.thenAccept { result -> result.fold({ context.refuse(it) }, { context.contentType(JSON_TYPE).result(it) }) }
+                .whenComplete { _, _ -> open.decrementAndGet() }
         }
     }
 
