--- a/src/main/kotlin/dandelionpoint/entry/EntryVm.kt
+++ b/src/main/kotlin/dandelionpoint/entry/EntryVm.kt
@@ -235,6 +235,8 @@
         }
     }
 
+    private fun hasWorkInHand(): Boolean = jobs.active() > 0 || routes.openCalls() > 0
+
     /** Stops in order: hands shards over, lets work in progress end (at most the drain limit), returns slots, says goodbye. */
     suspend fun drain() {
         if (isDraining) return
@@ -243,7 +245,7 @@
         peers.sendHeartbeats(network, state())
         val endMs = clock.millis() + settings.limits.drainMs
         val release = scope.launch { ownership.releaseAll() }
-        while ((jobs.active() > 0 || routes.openCalls() > 0 || release.isActive) && clock.millis() < endMs) delay(DRAIN_POLL_MS)
+        while ((hasWorkInHand() || release.isActive) && clock.millis() < endMs) delay(DRAIN_POLL_MS)
         delay(DRAIN_SETTLE_MS)
         membership.peers().forEach { network.send(it.vm, PeerMessage.Goodbye) }
         delay(DRAIN_POLL_MS)
