Log what happens to cancelled jobs, lost offers and stops of runs

The hypotheses of the incident could not be told apart by the logs: nothing was written when a job was cancelled, when an offer or a remote run lost its connection, when a run was to be stopped, when a stop met no run, or when a worker did not confirm one. Each now has a line with job, task, run number and the VM or worker concerned, so that the life of a run can be followed by its job id. The members job, task and run have the same form in all of these lines; in run_ended and start_not_confirmed they were the text of a data class before. Lines are written only in these unusual cases; a run that starts and ends normally still logs nothing. No decision changes.

--- a/src/main/kotlin/dandelionpoint/fleet/CellController.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellController.kt
@@ -81,7 +81,7 @@
         val outcome = answerOf(placement, order)
         if (outcome !is StartOutcome.Started) {
             log.info {
-                "event=start_not_confirmed task=${order.run.task} run=${order.run.run} worker=${placement.worker.id} outcome=$outcome"
+                "event=start_not_confirmed ${order.run.logFields()} worker=${placement.worker.id} outcome=$outcome"
             }
         }
         handle(cell.onStart(placement, outcome, clock.millis()))
@@ -116,8 +116,12 @@
         return outcome is LeaseOutcome.Answered
     }
 
-    /** Stops the runs that [matches] selects. */
-    fun stopRuns(matches: (RunOrder) -> Boolean) = handle(cell.stopRuns(matches))
+    /** Stops the runs that [matches] selects. Returns how many these are. */
+    fun stopRuns(matches: (RunOrder) -> Boolean): Int {
+        val stops = cell.stopRuns(matches)
+        handle(stops)
+        return stops.size
+    }
 
     /** Ends runs whose lease has expired. */
     fun tick() = handle(cell.tick(clock.millis()))
@@ -148,7 +152,11 @@
 
     private suspend fun stop(worker: WorkerEntry, run: TaskRun) {
         val isConfirmed = port.stop(worker, run, cell.token, rules.answerMarginMs)
-        if (isConfirmed) handle(cell.onStopped(worker.id, run, clock.millis()))
+        if (isConfirmed) {
+            handle(cell.onStopped(worker.id, run, clock.millis()))
+        } else {
+            log.info { "event=stop_not_confirmed ${run.logFields()} worker=${worker.id}" }
+        }
     }
 
     private suspend fun leaseLoop(id: String, signal: Channel<Unit>) {
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -171,7 +171,7 @@
     private inner class Runs : CellListener {
         override fun ended(order: RunOrder, end: RunEnd, workerId: String) {
             if (end == RunEnd.FAILED || end == RunEnd.LOST) {
-                log.info { "event=run_ended job=${order.task.jobId} run=${order.run} end=$end worker=$workerId" }
+                log.info { "event=run_ended ${order.run.logFields()} origin=${order.origin} end=$end worker=$workerId" }
             }
             if (order.origin == incarnation) runner.ended(order.run, end, workerId) else remoteRuns.ended(order.origin, order.run, end)
             runner.wake()
--- a/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
@@ -16,9 +16,12 @@
 import dandelionpoint.protocol.peer.PeerLink
 import dandelionpoint.protocol.peer.PeerReply
 import dandelionpoint.protocol.peer.VmIdentity
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
 import java.util.concurrent.ConcurrentHashMap
 
+private val log = KotlinLogging.logger {}
+
 /** Jobs of the clients that are connected to this VM, [self]. [ownerVm] returns the VM that dispatches them; null or [self] for this VM. */
 internal class JobForwarder(
     private val self: () -> VmIdentity,
@@ -73,7 +76,10 @@
 
                 is PeerReply.NotSent -> if (!mayHaveArrived) return null
 
-                is PeerReply.Lost -> mayHaveArrived = true
+                is PeerReply.Lost -> {
+                    mayHaveArrived = true
+                    log.info { "event=offer_lost job=${submission.job.id} owner=${owner.name} reason=\"${reply.reason}\"" }
+                }
             }
             if (entry.isCancelled || !isLive(owner)) return JobOutcome.GivenUp("the client or the dispatching VM was lost")
             delay(RETRY_MS)
@@ -90,6 +96,7 @@
     fun cancel(jobId: String): Boolean {
         val entry = open[jobId] ?: return false
         entry.isCancelled = true
+        log.info { "event=job_cancelled job=$jobId dispatcher=${entry.forwardedTo?.name}" }
         entry.forwardedTo?.let { link.send(it, JobCancel(jobId)) }
         runner.cancel(jobId)
         return true
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -112,7 +112,10 @@
 
                 is PeerReply.NotSent -> if (!mayHaveArrived) return ended(order.run, RunEnd.NOT_STARTED, avoid = null)
 
-                is PeerReply.Lost -> mayHaveArrived = true
+                is PeerReply.Lost -> {
+                    mayHaveArrived = true
+                    log.info { "event=remote_run_lost ${order.run.logFields()} peer=${vm.name} reason=\"${reply.reason}\"" }
+                }
             }
             if (!view.isLive(vm)) return ended(order.run, RunEnd.LOST, avoid = null)
             delay(REMOTE_RUN_RETRY_MS)
@@ -130,6 +133,7 @@
 
     fun cancel(jobId: String): Boolean {
         val isKnown = dispatch.has(jobId)
+        if (!isKnown) log.info { "event=cancel_of_unknown_job job=$jobId" }
         handle(dispatch.cancel(jobId))
         return isKnown
     }
@@ -155,7 +159,10 @@
                 waiters.remove(event.jobId)?.complete(event.outcome)
             }
 
-            is DispatchEvent.StopRun -> stopRun(event.run, event.location)
+            is DispatchEvent.StopRun -> {
+                log.info { "event=run_stop_requested ${event.run.logFields()} location=${event.location}" }
+                stopRun(event.run, event.location)
+            }
         }
     }
 
--- a/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
@@ -13,9 +13,12 @@
 import dandelionpoint.protocol.peer.PeerLink
 import dandelionpoint.protocol.peer.VmIdentity
 import dandelionpoint.protocol.peer.WorkersReleased
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import java.util.concurrent.ConcurrentHashMap
 
+private val log = KotlinLogging.logger {}
+
 /** The cell controllers of this VM. [workers] returns the current list of workers. */
 internal class OwnedCells(
     private val scope: CoroutineScope,
@@ -78,7 +81,10 @@
     }
 
     /** Stops [run], which the VM with the incarnation [origin] dispatched. */
-    fun stopRun(run: TaskRun, origin: String) = all().forEach { controller -> controller.stopRuns { it.run == run && it.origin == origin } }
+    fun stopRun(run: TaskRun, origin: String) {
+        val stopped = all().sumOf { controller -> controller.stopRuns { it.run == run && it.origin == origin } }
+        if (stopped == 0) log.info { "event=stop_of_unknown_run ${run.logFields()} origin=$origin" }
+    }
 
     /** [vm] is lost: stops the runs that it dispatched, and frees the workers that it had not released yet. */
     fun peerLost(vm: VmIdentity) {
--- a/src/main/kotlin/dandelionpoint/protocol/fleet/FleetJob.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/fleet/FleetJob.kt
@@ -56,7 +56,10 @@
 
 /** One attempt to execute [task]. The number [run] increases with each attempt, from 1. */
 @Serializable
-data class TaskRun(val task: TaskRef, val run: Int)
+data class TaskRun(val task: TaskRef, val run: Int) {
+    /** The members of a log line that identify this run. */
+    fun logFields(): String = "job=${task.jobId} task=${task.step}.${task.index} run=$run"
+}
 
 /** How a run ended. */
 @Serializable
