--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -13,10 +13,11 @@
 
 /** What the caller of [Dispatch] has to do. */
 internal sealed interface DispatchEvent {
-    data class Finished(val jobId: String, val outcome: JobOutcome) : DispatchEvent
+    /** [outcome] is the answer to [attempts], which are submissions of the job [jobId]. */
+    data class Finished(val jobId: String, val outcome: JobOutcome, val attempts: Set<AttemptKey>) : DispatchEvent
 
-    /** Stop [run], which was placed at [location] and whose job has ended. */
-    data class StopRun(val run: TaskRun, val location: RunLocation) : DispatchEvent
+    /** Stop the run [key], which was placed at [location] and whose job has ended. */
+    data class StopRun(val key: RunKey, val location: RunLocation) : DispatchEvent
 }
 
 /**
@@ -46,23 +47,45 @@
     val lostRemoteRunDelayMs: Long = 2_000,
 )
 
-/** A submitted [job]. [entryVm] is the incarnation of the VM that the client is connected to; times are in ms on this VM's clock. */
-internal data class Submission(val job: FleetJob, val queue: JobQueue, val entryVm: String, val arrivedAt: Long, val deadlineAt: Long)
+/**
+ * A submitted [job]. [entryVm] is the incarnation of the VM that the client is connected to, [number] counts the submissions there. Times
+ * are in ms on this VM's clock.
+ */
+internal data class Submission(
+    val job: FleetJob,
+    val queue: JobQueue,
+    val entryVm: String,
+    val arrivedAt: Long,
+    val deadlineAt: Long,
+    val number: Long = 0,
+) {
+    val attempt: AttemptKey get() = AttemptKey(entryVm, job.id, number)
+}
 
 /** The jobs in progress. [origin] is this VM's incarnation. All times are in ms on the VM's monotonic clock. */
 internal class Dispatch(private val origin: String, private val rules: DispatchRules = DispatchRules()) {
     private val lock = Any()
     private val jobs = LinkedHashMap<String, DispatchedJob>()
+    private val stopping = StoppingRuns()
+    private var lastDispatch = 0L
+
+    /** Answers to the latest attempts, for offers that arrive again, or only after their cancellation. */
+    private val answers = ExpiringMap<AttemptKey, JobOutcome>()
 
     /**
      * Accepts or refuses a job. [poolCores] is the number of cores of the usable workers of its pool; [placer] places the tasks that can
-     * start at once. The job is in progress unless the returned events contain a `Finished` for it.
+     * start at once. The job is in progress unless the returned events contain a `Finished` for it. Idempotent: an attempt that has been
+     * answered or cancelled gets the same answer again.
      */
     fun submit(submission: Submission, poolCores: Double, now: Long, placer: RunPlacer): List<DispatchEvent> = synchronized(lock) {
-        if (submission.job.id in jobs) return@synchronized emptyList()
-        val job = with(submission) { DispatchedJob(this.job, queue, entryVm, arrivedAt, deadlineAt) }
+        answers[submission.attempt]?.let { return@synchronized listOf(answer(submission.job.id, setOf(submission.attempt), it, now)) }
+        jobs[submission.job.id]?.let { inProgress ->
+            inProgress.join(submission)
+            return@synchronized emptyList()
+        }
+        val job = DispatchedJob(submission, ++lastDispatch)
         val refusal = refusal(job, poolCores, now)
-        if (refusal != null) return@synchronized listOf(DispatchEvent.Finished(job.job.id, refusal))
+        if (refusal != null) return@synchronized listOf(answer(job.job.id, job.attempts, refusal, now))
         jobs[job.job.id] = job
         placeWaitingTasks(now, placer)
     }
@@ -90,10 +113,11 @@
     fun schedule(now: Long, placer: RunPlacer): List<DispatchEvent> = synchronized(lock) { placeWaitingTasks(now, placer) }
 
     private fun placeWaitingTasks(now: Long, placer: RunPlacer): List<DispatchEvent> {
+        stopping.prune(now)
         val events = expire(now).toMutableList()
         var unplacedJobs = 0
         for (job in jobs.values.sortedWith(compareBy({ it.queue.priority }, ::latestStartOnTime))) {
-            for (task in job.waiting(now)) {
+            for (task in job.waiting(now).filter { !stopping.mayRun(it.ref, now) }) {
                 val order = job.nextOrder(task, origin)
                 val location = placer.place(order)
                 if (location == null) {
@@ -114,8 +138,10 @@
         val events = mutableListOf<DispatchEvent>()
         for (job in jobs.values.toList()) {
             when {
-                now >= job.deadlineAt && job.hasStarted -> events += finish(job, JobOutcome.GivenUp("the client's deadline has passed"))
-                !job.hasStarted && now >= latestStart(job) -> events += finish(job, notRun("no free worker capacity in time"))
+                now >= job.deadlineAt && job.hasStarted ->
+                    events += finish(job, JobOutcome.GivenUp("the client's deadline has passed"), now)
+
+                !job.hasStarted && now >= latestStart(job) -> events += finish(job, notRun("no free worker capacity in time"), now)
             }
         }
         return events
@@ -128,11 +154,14 @@
     }
 
     /**
-     * Applies the end of a run. [avoid] is the worker that it was on, which the next run of the task avoids; empty if that worker is
+     * Applies the end of the run [key]. [avoid] is the worker that it was on, which the next run of the task avoids; empty if that worker is
      * unknown, null if the run was remote and the other VM gave no answer.
      */
-    fun onRunEnd(run: TaskRun, end: RunEnd, avoid: String?, now: Long): List<DispatchEvent> = synchronized(lock) {
-        val job = jobs[run.task.jobId] ?: return@synchronized emptyList()
+    fun onRunEnd(key: RunKey, end: RunEnd, avoid: String?, now: Long): List<DispatchEvent> = synchronized(lock) {
+        val isReported = avoid != null || end == RunEnd.NOT_STARTED
+        stopping.onEnd(key, endsAt = if (isReported) now else now + rules.lostRemoteRunDelayMs)
+        val run = key.run
+        val job = jobs[run.task.jobId]?.takeIf { it.dispatch == key.dispatch } ?: return@synchronized emptyList()
         val task = job.task(run.task)?.takeIf { it.run == run.run && it.location != null } ?: return@synchronized emptyList()
         val wasRemote = task.location is RunLocation.Remote
         task.location = null
@@ -156,36 +185,69 @@
             }
         }
         when {
-            job.isDone -> finish(job, JobOutcome.Completed)
-            task.failures >= job.queue.maxAttempts -> finish(job, JobOutcome.Failed)
-            task.notBefore >= job.deadlineAt -> finish(job, JobOutcome.GivenUp("a run was lost with another VM"))
+            job.isDone -> finish(job, JobOutcome.Completed, now)
+            task.failures >= job.queue.maxAttempts -> finish(job, JobOutcome.Failed, now)
+            task.notBefore >= job.deadlineAt -> finish(job, JobOutcome.GivenUp("a run was lost with another VM"), now)
             else -> emptyList()
         }
     }
 
-    /** Ends the job because its client has cancelled it or disconnected. */
-    fun cancel(jobId: String): List<DispatchEvent> =
-        synchronized(lock) { jobs[jobId]?.let { finish(it, JobOutcome.GivenUp("cancelled")) } ?: emptyList() }
+    /**
+     * The client of [attempt] has cancelled it or disconnected. The job ends if no other client waits for it. An attempt that is not known
+     * yet is refused when it arrives.
+     */
+    fun cancel(attempt: AttemptKey, now: Long): List<DispatchEvent> = synchronized(lock) {
+        val outcome = JobOutcome.GivenUp("cancelled")
+        val job = jobs[attempt.jobId]?.takeIf { attempt in it.attempts }
+        when {
+            job != null -> leave(job, setOf(attempt), outcome, now)
+
+            else -> {
+                if (attempt !in answers) answers.put(attempt, outcome, now + ANSWER_KEPT_MS, now)
+                emptyList()
+            }
+        }
+    }
+
+    /** Ends the attempts whose client was connected to the VM with the incarnation [vm]. */
+    fun cancelFrom(vm: String, now: Long): List<DispatchEvent> = synchronized(lock) {
+        jobs.values.toList().flatMap { job ->
+            val lost = job.attempts.filter { it.entryVm == vm }.toSet()
+            if (lost.isEmpty()) emptyList() else leave(job, lost, JobOutcome.GivenUp("the client's VM was lost"), now)
+        }
+    }
 
-    /** Ends the jobs whose client was connected to the VM with the incarnation [vm]. */
-    fun cancelFrom(vm: String): List<DispatchEvent> = synchronized(lock) {
-        jobs.values.filter { it.entryVm == vm }.flatMap { finish(it, JobOutcome.GivenUp("the client's VM was lost")) }
+    /** Answers [attempts] of [job] with [outcome], and ends the job if there are no others. */
+    private fun leave(job: DispatchedJob, attempts: Set<AttemptKey>, outcome: JobOutcome, now: Long): List<DispatchEvent> {
+        if (attempts.containsAll(job.attempts)) return finish(job, outcome, now)
+        job.attempts -= attempts
+        return listOf(answer(job.job.id, attempts, outcome, now))
     }
 
     /** Ends all jobs for [reason]: after a process pause of this VM, during which the other VMs may have taken it for lost. */
-    fun cancelAll(reason: String): List<DispatchEvent> = synchronized(lock) {
-        jobs.values.toList().flatMap { finish(it, if (it.hasStarted) JobOutcome.GivenUp(reason) else notRun(reason)) }
+    fun cancelAll(reason: String, now: Long): List<DispatchEvent> = synchronized(lock) {
+        jobs.values.toList().flatMap { finish(it, if (it.hasStarted) JobOutcome.GivenUp(reason) else notRun(reason), now) }
     }
 
-    private fun finish(job: DispatchedJob, outcome: JobOutcome): List<DispatchEvent> {
+    private fun finish(job: DispatchedJob, outcome: JobOutcome, now: Long): List<DispatchEvent> {
         jobs.remove(job.job.id)
-        val stops = job.placed().map { DispatchEvent.StopRun(TaskRun(it.ref, it.run), checkNotNull(it.location)) }
-        return stops + DispatchEvent.Finished(job.job.id, outcome)
+        val stops = job.placed().map {
+            DispatchEvent.StopRun(RunKey(origin, job.dispatch, TaskRun(it.ref, it.run)), checkNotNull(it.location))
+        }
+        stops.forEach { stopping.add(it.key) }
+        return stops + answer(job.job.id, job.attempts.toSet(), outcome, now)
+    }
+
+    private fun answer(jobId: String, attempts: Set<AttemptKey>, outcome: JobOutcome, now: Long): DispatchEvent {
+        attempts.forEach { answers.put(it, outcome, now + ANSWER_KEPT_MS, now) }
+        return DispatchEvent.Finished(jobId, outcome, attempts.toSet())
     }
 
     fun size(): Int = synchronized(lock) { jobs.size }
 
-    fun has(jobId: String): Boolean = synchronized(lock) { jobId in jobs }
+    /** True if [attempt] was submitted here or cancelled, and has not been forgotten since. */
+    fun has(attempt: AttemptKey): Boolean =
+        synchronized(lock) { attempt in answers || jobs[attempt.jobId]?.attempts?.contains(attempt) == true }
 
     /** Jobs without a started task, by queue. */
     fun waitingJobs(): Map<String, Int> =
@@ -195,6 +257,9 @@
         /** A scheduling pass ends after this many jobs with a task that fits on no worker. */
         const val MAX_UNPLACED_JOBS = 16
 
+        /** How long the answer to an attempt is kept, in ms: longer than an offer or its cancellation can be on its way. */
+        const val ANSWER_KEPT_MS = 10_000L
+
         /** Delay before a task whose run was not started is placed again, in ms. */
         const val NOT_STARTED_DELAY_MS = 5L
     }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
@@ -35,10 +35,27 @@
 }
 
 /**
- * Progress of one job. [entryVm] is the incarnation of the VM that the client is connected to. [arrivedAt] and [deadlineAt] are in ms on
- * this VM's monotonic clock. Not thread-safe.
+ * Progress of one job, first submitted by [submission], under the number [dispatch]. Times are in ms on this VM's monotonic clock. Not
+ * thread-safe.
  */
-internal class DispatchedJob(val job: FleetJob, val queue: JobQueue, val entryVm: String, val arrivedAt: Long, val deadlineAt: Long) {
+internal class DispatchedJob(submission: Submission, val dispatch: Long) {
+    val job: FleetJob = submission.job
+    val queue: JobQueue = submission.queue
+    val arrivedAt: Long = submission.arrivedAt
+
+    /** Latest deadline of the clients that wait for the job. */
+    var deadlineAt: Long = submission.deadlineAt
+        private set
+
+    /** The submissions whose clients wait for the job, which ends when there are none left. */
+    val attempts = linkedSetOf(submission.attempt)
+
+    /** Adds another submission of the same job. */
+    fun join(submission: Submission) {
+        attempts += submission.attempt
+        deadlineAt = max(deadlineAt, submission.deadlineAt)
+    }
+
     private val tasks: List<List<DispatchedTask>> =
         job.steps.mapIndexed { number, step -> List(step.count) { index -> DispatchedTask(TaskRef(job.id, number, index)) } }
 
@@ -91,6 +108,9 @@
             maxPerWorker = step.maxPerWorker,
             avoid = task.avoid,
             hasFailed = task.hasFailedLast,
+            dispatch = dispatch,
+            entryVm = attempts.first().entryVm,
+            deadlineAt = deadlineAt,
         )
     }
 
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/RunOrder.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/RunOrder.kt
@@ -4,9 +4,21 @@
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.TaskRun
 
+/**
+ * Identifies a run for as long as any VM knows of it. Run numbers begin anew when a client submits its job again, so that [run] alone may
+ * name two runs. [origin] is the incarnation of the VM that dispatches the job, [dispatch] the number that it gave to this submission.
+ */
+internal data class RunKey(val origin: String, val dispatch: Long, val run: TaskRun)
+
+/**
+ * Identifies one request of a client to run a job. [entryVm] is the incarnation of the VM that the client is connected to, [number] counts
+ * the submissions that it has accepted.
+ */
+internal data class AttemptKey(val entryVm: String, val jobId: String, val number: Long)
+
 /**
  * A run to be placed on a worker of [pool]. [origin] is the incarnation of the VM that dispatches the job; the run is stopped when that
- * VM is lost. [estimateMs] is the expected run time in ms. [avoid] is the worker of an earlier, unsuccessful run of the task, used only
+ * VM is lost, or [entryVm], the VM that the job's client is connected to. [dispatch] is the origin's number of the submission. The client waits for the job until [deadlineAt], in ms on the monotonic clock of the VM that holds this order. [estimateMs] is the expected run time in ms. [avoid] is the worker of an earlier, unsuccessful run of the task, used only
  * as a last choice. If the earlier run [hasFailed] there, that worker is not used at all while another one of the cell can run the task,
  * since a task has few attempts.
  */
@@ -22,7 +34,12 @@
     val maxPerWorker: Int = 0,
     val avoid: String? = null,
     val hasFailed: Boolean = false,
+    val dispatch: Long = 0,
+    val entryVm: String = origin,
+    val deadlineAt: Long = Long.MAX_VALUE,
 ) {
+    val key: RunKey get() = RunKey(origin, dispatch, run)
+
     val task: TaskRef get() = run.task
 
     /** True if both runs belong to the same step of the same job. */
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -4,10 +4,12 @@
  */
 package dandelionpoint.fleet
 
+import dandelionpoint.coordination.fleet.AttemptKey
 import dandelionpoint.coordination.fleet.Dispatch
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.LivePeer
 import dandelionpoint.coordination.fleet.PeerLiveness
+import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
 import dandelionpoint.coordination.fleet.Submission
 import dandelionpoint.protocol.Clock
@@ -16,8 +18,8 @@
 import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.QueueRoute
 import dandelionpoint.protocol.fleet.RunEnd
-import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.millis
+import dandelionpoint.protocol.peer.CancelAnswer
 import dandelionpoint.protocol.peer.CellHandover
 import dandelionpoint.protocol.peer.CellStatus
 import dandelionpoint.protocol.peer.FleetHeartbeat
@@ -63,11 +65,11 @@
     private val dispatch = Dispatch(incarnation)
     private val remote = RemoteCapacity()
     private val runner = JobRunner(scope, dispatch, remote, network, Fleet(), clock)
-    private val remoteRuns = RemoteRunServer { cells.controller(it) }
+    private val remoteRuns = RemoteRunServer({ cells.controller(it) }, { cells.stopRun(it) }, clock)
     private val claims = CellClaims(ports.store, Claims(), rules, clock)
     private val heartbeats = HeartbeatSender(network, liveness, clock) { heartbeat() }
     private lateinit var self: VmIdentity
-    private val forwarder = JobForwarder({ self }, runner, network, { liveness.isLive(it) }, { dispatchingVm() }, clock)
+    private val forwarder = JobForwarder(scope, { self }, runner, network, { liveness.isLive(it) }, { dispatchingVm() }, clock)
 
     @Volatile
     override var isStopping = false
@@ -165,7 +167,7 @@
 
         override fun peer(incarnation: String): VmIdentity? = liveness.live().firstOrNull { it.vm.incarnation == incarnation }?.vm
 
-        override fun stopRun(run: TaskRun) = cells.stopRun(run, incarnation)
+        override fun stopRun(key: RunKey) = cells.stopRun(key)
     }
 
     private inner class Runs : CellListener {
@@ -173,7 +175,7 @@
             if (end == RunEnd.FAILED || end == RunEnd.LOST) {
                 log.info { "event=run_ended ${order.run.logFields()} origin=${order.origin} end=$end worker=$workerId" }
             }
-            if (order.origin == incarnation) runner.ended(order.run, end, workerId) else remoteRuns.ended(order.origin, order.run, end)
+            if (order.origin == incarnation) runner.ended(order.key, end, workerId) else remoteRuns.ended(order.key, end)
             runner.wake()
             heartbeats.sendSoon()
         }
@@ -214,22 +216,34 @@
     private suspend fun handle(from: VmIdentity, message: PeerMessage): PeerMessage? {
         when (message) {
             is FleetHeartbeat -> onHeartbeat(from, message)
+
             is JobOffer -> return dispatchFor(from, message)
-            is JobCancel -> runner.cancel(message.jobId)
+
+            is JobCancel -> {
+                runner.cancel(AttemptKey(from.incarnation, message.jobId, message.attempt))
+                return CancelAnswer
+            }
+
             is RemoteRunRequest -> return remoteRuns.run(from, message)
-            is RunCancel -> cells.stopRun(message.run, from.incarnation)
+
+            is RunCancel -> return remoteRuns.cancel(RunKey(from.incarnation, message.dispatch, message.run))
+
             is CellHandover -> claims.handover(message.cell, from)
+
             is WorkersReleased -> onWorkersReleased(message)
+
             is PeerMessage.ConfigPull -> return tables.configuration?.let { PeerMessage.ConfigChanges(it.version, it.document) }
+
             else -> log.warn { "event=unexpected_message peer=${from.name} type=${message::class.simpleName}" }
         }
         return null
     }
 
     private suspend fun dispatchFor(from: VmIdentity, offer: JobOffer): JobAnswer {
-        if (isStopping && !dispatch.has(offer.job.id)) return JobAnswer()
         val now = clock.millis()
-        val submission = Submission(offer.job, offer.queue, from.incarnation, now - offer.ageMs, now + offer.remainingMs)
+        val submission =
+            Submission(offer.job, offer.queue, from.incarnation, now - offer.ageMs, now + offer.remainingMs, offer.attempt)
+        if (isStopping && !dispatch.has(submission.attempt)) return JobAnswer()
         return JobAnswer(runner.run(submission))
     }
 
--- a/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
@@ -1,9 +1,11 @@
 /*
  * Forwards the jobs of this VM's clients to the owner of the cell of its data centre, which dispatches them. Without a live owner, this VM
- * dispatches them itself, with the free capacity of other cells.
+ * dispatches them itself, with the free capacity of other cells. Invariant: once a client no longer waits for an attempt, the dispatching
+ * VM is told so until it confirms it, and an offer of the attempt that arrives later starts nothing.
  */
 package dandelionpoint.fleet
 
+import dandelionpoint.coordination.fleet.AttemptKey
 import dandelionpoint.coordination.fleet.Submission
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.FleetJob
@@ -17,13 +19,17 @@
 import dandelionpoint.protocol.peer.PeerReply
 import dandelionpoint.protocol.peer.VmIdentity
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
 
 private val log = KotlinLogging.logger {}
 
 /** Jobs of the clients that are connected to this VM, [self]. [ownerVm] returns the VM that dispatches them; null or [self] for this VM. */
 internal class JobForwarder(
+    private val scope: CoroutineScope,
     private val self: () -> VmIdentity,
     private val runner: JobRunner,
     private val link: PeerLink,
@@ -31,41 +37,43 @@
     private val ownerVm: () -> VmIdentity?,
     private val clock: Clock = Clock.System,
 ) {
-    /** A job in progress. [forwardedTo] is the VM that dispatches it, null for this VM. */
-    private class OpenJob(@Volatile var forwardedTo: VmIdentity? = null, @Volatile var isCancelled: Boolean = false)
+    /** A submission in progress. [dispatcher] is the VM that it was offered to, null for this VM. */
+    private class Attempt(val key: AttemptKey, @Volatile var dispatcher: VmIdentity? = null, @Volatile var isCancelled: Boolean = false)
 
-    private val open = ConcurrentHashMap<String, OpenJob>()
+    private val lastNumber = AtomicLong()
+    private val attempts = ConcurrentHashMap<AttemptKey, Attempt>()
 
-    fun size(): Int = open.size
+    fun size(): Int = attempts.size
 
-    fun has(jobId: String): Boolean = open.containsKey(jobId)
+    fun has(jobId: String): Boolean = attempts.keys.any { it.jobId == jobId }
 
     suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long): JobOutcome {
         val arrivedAt = clock.millis()
         val arrivedWallMs = clock.wallMs()
-        val own = OpenJob()
-        val entry = open.putIfAbsent(job.id, own) ?: own
+        val submission = Submission(job, queue, self().incarnation, arrivedAt, arrivedAt + waitMs, lastNumber.incrementAndGet())
+        val attempt = Attempt(submission.attempt)
+        attempts[attempt.key] = attempt
         try {
-            val outcome = dispatch(Submission(job, queue, self().incarnation, arrivedAt, arrivedAt + waitMs), entry)
+            val outcome = dispatch(submission, attempt)
             // The monotonic clock does not advance while the VM is suspended; the wall clock does.
             val isOverdue = clock.wallMs() - arrivedWallMs > waitMs + OVERDUE_MS
             return if (isOverdue && outcome != JobOutcome.Completed) JobOutcome.GivenUp("the client's deadline has passed") else outcome
         } finally {
-            open.remove(job.id, entry)
+            attempts.remove(attempt.key)
         }
     }
 
-    private suspend fun dispatch(submission: Submission, entry: OpenJob): JobOutcome {
+    private suspend fun dispatch(submission: Submission, attempt: Attempt): JobOutcome {
         val owner = ownerVm()
         if (owner == null || owner == self()) return runner.run(submission)
-        entry.forwardedTo = owner
-        return offer(submission, entry, owner) ?: runner.run(submission)
+        attempt.dispatcher = owner
+        return offer(submission, attempt, owner) ?: runner.run(submission)
     }
 
     /** Offers the job to [owner] and returns its outcome; null if [owner] certainly did not accept the job. */
-    private suspend fun offer(submission: Submission, entry: OpenJob, owner: VmIdentity): JobOutcome? {
+    private suspend fun offer(submission: Submission, attempt: Attempt, owner: VmIdentity): JobOutcome? {
         var mayHaveArrived = false
-        while (clock.millis() < submission.deadlineAt) {
+        while (clock.millis() < submission.deadlineAt && !attempt.isCancelled) {
             when (val reply = link.call(owner, offerOf(submission), submission.deadlineAt - clock.millis() + ANSWER_MARGIN_MS)) {
                 is PeerReply.Answered -> {
                     val outcome = (reply.message as? JobAnswer)?.outcome
@@ -81,25 +89,41 @@
                     log.info { "event=offer_lost job=${submission.job.id} owner=${owner.name} reason=\"${reply.reason}\"" }
                 }
             }
-            if (entry.isCancelled || !isLive(owner)) return JobOutcome.GivenUp("the client or the dispatching VM was lost")
+            if (!isLive(owner)) break
             delay(RETRY_MS)
         }
-        return JobOutcome.GivenUp("the client's deadline has passed")
+        if (mayHaveArrived) cancelAt(owner, attempt.key)
+        return JobOutcome.GivenUp("the client or the dispatching VM was lost, or the client's deadline has passed")
     }
 
     private fun offerOf(submission: Submission): JobOffer {
         val now = clock.millis()
-        return with(submission) { JobOffer(job, queue, ageMs = now - arrivedAt, remainingMs = deadlineAt - now) }
+        return with(submission) { JobOffer(job, queue, ageMs = now - arrivedAt, remainingMs = deadlineAt - now, attempt = number) }
     }
 
-    /** Ends a job because its client has disconnected or asked for it. Returns false if the job is not in progress. */
+    /** Ends the attempts of a job because its client has disconnected or asked for it. Returns false if there are none in progress. */
     fun cancel(jobId: String): Boolean {
-        val entry = open[jobId] ?: return false
-        entry.isCancelled = true
-        log.info { "event=job_cancelled job=$jobId dispatcher=${entry.forwardedTo?.name}" }
-        entry.forwardedTo?.let { link.send(it, JobCancel(jobId)) }
-        runner.cancel(jobId)
-        return true
+        val ofJob = attempts.values.filter { it.key.jobId == jobId }
+        ofJob.forEach { attempt ->
+            attempt.isCancelled = true
+            log.info { "event=job_cancelled job=$jobId dispatcher=${attempt.dispatcher?.name}" }
+            attempt.dispatcher?.let { cancelAt(it, attempt.key) }
+            runner.cancel(attempt.key)
+        }
+        return ofJob.isNotEmpty()
+    }
+
+    /** Tells [dispatcher] that no client waits for [attempt], until it confirms it. */
+    private fun cancelAt(dispatcher: VmIdentity, attempt: AttemptKey) {
+        scope.launch {
+            val latest = clock.millis() + CANCEL_PERIOD_MS
+            while (clock.millis() < latest) {
+                val reply = link.call(dispatcher, JobCancel(attempt.jobId, attempt.number), CANCEL_TIMEOUT_MS)
+                if (reply is PeerReply.Answered) return@launch
+                delay(CANCEL_RETRY_MS)
+            }
+            log.info { "event=cancel_not_confirmed job=${attempt.jobId} dispatcher=${dispatcher.name}" }
+        }
     }
 
     private companion object {
@@ -107,6 +131,15 @@
         const val ANSWER_MARGIN_MS = 300L
         const val RETRY_MS = 120L
 
+        /** Longest wait for the answer to a cancellation, before it is repeated, in ms. */
+        const val CANCEL_TIMEOUT_MS = 200L
+
+        /** Pause before a cancellation is repeated, in ms. */
+        const val CANCEL_RETRY_MS = 50L
+
+        /** How long a cancellation is repeated, in ms: longer than the dispatching VM takes to declare this VM lost. */
+        const val CANCEL_PERIOD_MS = 3_000L
+
         /** A job that took this much longer than its client waits, by the wall clock, was delayed by a suspension of the VM, in ms. */
         const val OVERDUE_MS = 1_000L
     }
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -5,8 +5,10 @@
  */
 package dandelionpoint.fleet
 
+import dandelionpoint.coordination.fleet.AttemptKey
 import dandelionpoint.coordination.fleet.Dispatch
 import dandelionpoint.coordination.fleet.DispatchEvent
+import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunLocation
 import dandelionpoint.coordination.fleet.RunOrder
 import dandelionpoint.coordination.fleet.RunPlacer
@@ -14,9 +16,9 @@
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.fleet.RunEnd
-import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.millis
 import dandelionpoint.protocol.peer.PeerLink
+import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.PeerReply
 import dandelionpoint.protocol.peer.RemoteRunRequest
 import dandelionpoint.protocol.peer.RunAnswer
@@ -44,7 +46,7 @@
     fun peer(incarnation: String): VmIdentity?
 
     /** Stops a run of this VM's jobs in its own cells. */
-    fun stopRun(run: TaskRun)
+    fun stopRun(key: RunKey)
 }
 
 /** Runs the jobs of [dispatch]. */
@@ -56,7 +58,8 @@
     private val view: FleetView,
     private val clock: Clock = Clock.System,
 ) {
-    private val waiters = ConcurrentHashMap<String, CompletableDeferred<JobOutcome>>()
+    private val waiters = ConcurrentHashMap<AttemptKey, CompletableDeferred<JobOutcome>>()
+    private val remoteRuns = ConcurrentHashMap<RunKey, RemoteRun>()
     private val wakeUp = Channel<Unit>(Channel.CONFLATED)
     private val placer = RunPlacer { place(it) }
 
@@ -75,11 +78,10 @@
         wakeUp.trySend(Unit)
     }
 
-    /** Runs a job to its end. If the job is already in progress, waits for its outcome. */
+    /** Runs a job to its end. Idempotent: an attempt that is repeated gets the outcome of the first call. */
     suspend fun run(submission: Submission): JobOutcome {
-        val id = submission.job.id
         val own = CompletableDeferred<JobOutcome>()
-        val waiter = waiters.putIfAbsent(id, own)
+        val waiter = waiters.putIfAbsent(submission.attempt, own)
         if (waiter != null) return waiter.await()
         handle(dispatch.submit(submission, poolCores(submission.queue.pool), clock.millis(), placer))
         return own.await()
@@ -93,59 +95,81 @@
     private fun place(order: RunOrder): RunLocation? {
         view.controllers().firstOrNull { it.place(order) }?.let { return RunLocation.Local(it.cell.name) }
         val (vm, location) = remote.reserve(order) ?: return null
-        scope.launch { runRemotely(order, vm, location) }
+        val run = RemoteRun(order, vm, location.cell)
+        remoteRuns[order.key] = run
+        scope.launch { runRemotely(run) }
         return location
     }
 
-    private suspend fun runRemotely(order: RunOrder, vm: VmIdentity, location: RunLocation.Remote) {
-        val request = with(order) {
-            RemoteRunRequest(location.cell, run, payload, pool, demand, estimateMs, requiredLabel, rack, maxPerWorker)
-        }
+    private suspend fun runRemotely(run: RemoteRun) {
         var mayHaveArrived = false
-        while (true) {
-            when (val reply = link.call(vm, request, REMOTE_RUN_TIMEOUT_MS)) {
-                is PeerReply.Answered -> {
-                    val end = (reply.message as? RunAnswer)?.end ?: RunEnd.LOST
-                    if (end == RunEnd.NOT_STARTED) remote.markFull(vm)
-                    return ended(order.run, end, avoid = "")
-                }
+        while (!run.isCancelled) {
+            when (val reply = link.call(run.vm, request(run), REMOTE_RUN_TIMEOUT_MS)) {
+                is PeerReply.Answered -> return remoteEnded(run, reply.message)
 
-                is PeerReply.NotSent -> if (!mayHaveArrived) return ended(order.run, RunEnd.NOT_STARTED, avoid = null)
+                is PeerReply.NotSent -> if (!mayHaveArrived) return remoteEnded(run, RunEnd.NOT_STARTED, isReported = false)
 
                 is PeerReply.Lost -> {
                     mayHaveArrived = true
-                    log.info { "event=remote_run_lost ${order.run.logFields()} peer=${vm.name} reason=\"${reply.reason}\"" }
+                    log.info { "event=remote_run_lost ${run.order.run.logFields()} peer=${run.vm.name} reason=\"${reply.reason}\"" }
                 }
             }
-            if (!view.isLive(vm)) return ended(order.run, RunEnd.LOST, avoid = null)
+            if (!view.isLive(run.vm)) {
+                remoteEnded(run, RunEnd.LOST, isReported = false)
+                return stopRemotely(run)
+            }
             delay(REMOTE_RUN_RETRY_MS)
         }
     }
 
+    private fun request(run: RemoteRun) = with(run.order) {
+        val remainingMs = run.deadlineAt - clock.millis()
+        RemoteRunRequest(
+            run.cell, this.run, payload, pool, demand, estimateMs, requiredLabel, rack, maxPerWorker, dispatch, remainingMs, entryVm,
+        )
+    }
+
+    /** Repeats the request to stop [run] until its owner confirms the end, or for so long that its owner must have lost this VM. */
+    private suspend fun stopRemotely(run: RemoteRun) {
+        val latest = clock.millis() + CANCEL_PERIOD_MS
+        while (clock.millis() < latest) {
+            val reply = link.call(run.vm, RunCancel(run.order.run, run.order.dispatch), CANCEL_TIMEOUT_MS)
+            if (reply is PeerReply.Answered) return remoteEnded(run, reply.message)
+            delay(CANCEL_RETRY_MS)
+        }
+        remoteEnded(run, RunEnd.LOST, isReported = false)
+    }
+
+    private fun remoteEnded(run: RemoteRun, message: PeerMessage) =
+        remoteEnded(run, (message as? RunAnswer)?.end ?: RunEnd.LOST, isReported = true)
+
+    /** [run] has ended, as its owner has reported or as this VM concludes from the loss of its owner. Only the first call counts. */
+    private fun remoteEnded(run: RemoteRun, end: RunEnd, isReported: Boolean) {
+        if (!remoteRuns.remove(run.key, run)) return
+        if (isReported && end == RunEnd.NOT_STARTED) remote.markFull(run.vm)
+        ended(run.key, end, avoid = if (isReported) "" else null)
+    }
+
     /**
      * A run of a job that this VM dispatches has ended. [avoid] is the worker that it was on, which the task's next run avoids; it is empty
      * for a remote run whose end the other VM has reported, and null if there is no such report.
      */
-    fun ended(run: TaskRun, end: RunEnd, avoid: String?) {
-        handle(dispatch.onRunEnd(run, end, avoid, clock.millis()))
+    fun ended(key: RunKey, end: RunEnd, avoid: String?) {
+        handle(dispatch.onRunEnd(key, end, avoid, clock.millis()))
         wake()
     }
 
-    fun cancel(jobId: String): Boolean {
-        val isKnown = dispatch.has(jobId)
-        if (!isKnown) log.info { "event=cancel_of_unknown_job job=$jobId" }
-        handle(dispatch.cancel(jobId))
-        return isKnown
-    }
+    /** The client of [attempt] has disconnected or cancelled it. */
+    fun cancel(attempt: AttemptKey) = handle(dispatch.cancel(attempt, clock.millis()))
 
     /** [vm] is lost: ends the jobs of the clients that were connected to it. */
     fun peerLost(vm: VmIdentity) {
         remote.remove(vm)
-        handle(dispatch.cancelFrom(vm.incarnation))
+        handle(dispatch.cancelFrom(vm.incarnation, clock.millis()))
     }
 
     /** Ends all jobs, because this process was paused for so long that its peers have declared the VM lost. */
-    fun onProcessPause(pauseMs: Long) = handle(dispatch.cancelAll("the VM process was paused for $pauseMs ms"))
+    fun onProcessPause(pauseMs: Long) = handle(dispatch.cancelAll("the VM process was paused for $pauseMs ms", clock.millis()))
 
     /** Makes the loop check deadlines and waiting tasks, if there are jobs. */
     fun tick() {
@@ -155,29 +179,55 @@
     private fun handle(events: List<DispatchEvent>) = events.forEach { event ->
         when (event) {
             is DispatchEvent.Finished -> {
-                if (event.outcome != JobOutcome.Completed) log.info { "event=job_ended job=${event.jobId} outcome=${event.outcome}" }
-                waiters.remove(event.jobId)?.complete(event.outcome)
+                if (event.outcome != JobOutcome.Completed) {
+                    val attempts = event.attempts.joinToString(",") { "${it.entryVm}/${it.number}" }
+                    log.info { "event=job_ended job=${event.jobId} attempts=$attempts outcome=${event.outcome}" }
+                }
+                event.attempts.forEach { waiters.remove(it)?.complete(event.outcome) }
             }
 
             is DispatchEvent.StopRun -> {
-                log.info { "event=run_stop_requested ${event.run.logFields()} location=${event.location}" }
-                stopRun(event.run, event.location)
+                log.info { "event=run_stop_requested ${event.key.run.logFields()} location=${event.location}" }
+                stopRun(event.key, event.location)
             }
         }
     }
 
-    private fun stopRun(run: TaskRun, location: RunLocation) {
+    private fun stopRun(key: RunKey, location: RunLocation) {
         when (location) {
-            is RunLocation.Local -> view.stopRun(run)
-            is RunLocation.Remote -> view.peer(location.vm)?.let { link.send(it, RunCancel(run)) }
+            is RunLocation.Local -> view.stopRun(key)
+
+            is RunLocation.Remote -> remoteRuns[key]?.let { run ->
+                run.isCancelled = true
+                scope.launch { stopRemotely(run) }
+            }
         }
     }
 
+    /** A run in [cell], which [vm] owns. The client waits for its job until [deadlineAt], in ms on this VM's monotonic clock. */
+    private class RemoteRun(val order: RunOrder, val vm: VmIdentity, val cell: String) {
+        val key: RunKey = order.key
+        val deadlineAt: Long = order.deadlineAt
+
+        /** True once the job has ended, after which the run is not requested again. */
+        @Volatile
+        var isCancelled = false
+    }
+
     private companion object {
         /** Longest wait for the reply to one request for a remote run, which comes when the run has ended, in ms. */
         const val REMOTE_RUN_TIMEOUT_MS = 15_000L
 
         /** Pause before the request for a remote run is repeated, in ms. */
         const val REMOTE_RUN_RETRY_MS = 150L
+
+        /** Longest wait for the end of a remote run that is to be stopped, before the request is repeated, in ms. */
+        const val CANCEL_TIMEOUT_MS = 250L
+
+        /** Pause before a request to stop a remote run is repeated, in ms. */
+        const val CANCEL_RETRY_MS = 50L
+
+        /** How long a remote run is asked to stop, in ms: longer than its owner takes to declare this VM lost and to stop the run itself. */
+        const val CANCEL_PERIOD_MS = 3_000L
     }
 }
--- a/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
@@ -6,8 +6,8 @@
 
 import dandelionpoint.coordination.fleet.Cell
 import dandelionpoint.coordination.fleet.FleetRules
+import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.protocol.Clock
-import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.protocol.fleet.WorkerPort
 import dandelionpoint.protocol.peer.PeerLink
@@ -80,10 +80,10 @@
         controller.wake()
     }
 
-    /** Stops [run], which the VM with the incarnation [origin] dispatched. */
-    fun stopRun(run: TaskRun, origin: String) {
-        val stopped = all().sumOf { controller -> controller.stopRuns { it.run == run && it.origin == origin } }
-        if (stopped == 0) log.info { "event=stop_of_unknown_run ${run.logFields()} origin=$origin" }
+    /** Stops the run [key]. */
+    fun stopRun(key: RunKey) {
+        val stopped = all().sumOf { controller -> controller.stopRuns { it.key == key } }
+        if (stopped == 0) log.info { "event=stop_of_unknown_run ${key.run.logFields()} origin=${key.origin}" }
     }
 
     /** [vm] is lost: stops the runs that it dispatched, and frees the workers that it had not released yet. */
--- a/src/main/kotlin/dandelionpoint/fleet/RemoteRunServer.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/RemoteRunServer.kt
@@ -1,53 +1,92 @@
 /*
  * Serves remote runs: runs in this VM's cells that belong to jobs which other VMs dispatch. A repeated request for the same run waits for
- * the same end; the most recent ends are stored, so that a request which is repeated after the end gets the same reply.
+ * the same end; the most recent ends are stored, so that a request which is repeated after the end gets the same reply. Invariant: after a
+ * cancellation, however the messages overtake each other, the run is not started, or is stopped.
  */
 package dandelionpoint.fleet
 
+import dandelionpoint.coordination.fleet.ExpiringMap
+import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
+import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.RunEnd
-import dandelionpoint.protocol.fleet.TaskRun
+import dandelionpoint.protocol.millis
 import dandelionpoint.protocol.peer.RemoteRunRequest
 import dandelionpoint.protocol.peer.RunAnswer
 import dandelionpoint.protocol.peer.VmIdentity
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
 
-/** Serves remote runs. [controllerOf] returns the controller of a cell that this VM owns, otherwise null. */
-internal class RemoteRunServer(private val controllerOf: (String) -> CellController?) {
-    private val lock = Any()
-    private val open = HashMap<Pair<String, TaskRun>, CompletableDeferred<RunEnd>>()
-    private val recentEnds = object : LinkedHashMap<Pair<String, TaskRun>, RunEnd>() {
-        override fun removeEldestEntry(eldest: Map.Entry<Pair<String, TaskRun>, RunEnd>) = size > MAX_RECENT_ENDS
+/** Serves remote runs. [controllerOf] returns the controller of a cell that this VM owns, otherwise null; [stopRun] stops a run. */
+internal class RemoteRunServer(
+    private val controllerOf: (String) -> CellController?,
+    private val stopRun: (RunKey) -> Unit,
+    private val clock: Clock = Clock.System,
+) {
+    private class OpenRun(var isCancelled: Boolean = false) {
+        val end = CompletableDeferred<RunEnd>()
     }
 
+    private val lock = Any()
+    private val open = HashMap<RunKey, OpenRun>()
+    private val recentEnds = ExpiringMap<RunKey, RunEnd>()
+
     /** Starts the requested run for [from] and waits for its end. */
     suspend fun run(from: VmIdentity, request: RemoteRunRequest): RunAnswer {
-        val key = from.incarnation to request.run
-        val own = CompletableDeferred<RunEnd>()
+        val order = order(from, request)
+        val own = OpenRun()
         val earlier = synchronized(lock) {
+            recentEnds[order.key]?.let { return RunAnswer(it) }
+            open.putIfAbsent(order.key, own)
+        }
+        if (earlier != null) return RunAnswer(earlier.end.await())
+        val isPlaced = controllerOf(request.cell)?.place(order) ?: false
+        if (!isPlaced) ended(order.key, RunEnd.NOT_STARTED)
+        if (synchronized(lock) { own.isCancelled }) stopRun(order.key)
+        return RunAnswer(endWithin(request.remainingMs, own) ?: endAfterStop(order.key, own))
+    }
+
+    private suspend fun endWithin(waitMs: Long?, run: OpenRun): RunEnd? =
+        if (waitMs == null) run.end.await() else withTimeoutOrNull(waitMs) { run.end.await() }
+
+    private suspend fun endAfterStop(key: RunKey, run: OpenRun): RunEnd {
+        stopRun(key)
+        return run.end.await()
+    }
+
+    /** Stops the run [key] and waits for its end. A run that has not been requested yet is not started when the request arrives. */
+    suspend fun cancel(key: RunKey): RunAnswer {
+        val run = synchronized(lock) {
             recentEnds[key]?.let { return RunAnswer(it) }
-            open.putIfAbsent(key, own)
+            open[key]?.also { it.isCancelled = true }
+        }
+        if (run == null) {
+            ended(key, RunEnd.NOT_STARTED)
+            return RunAnswer(RunEnd.NOT_STARTED)
         }
-        if (earlier != null) return RunAnswer(earlier.await())
-        val isPlaced = controllerOf(request.cell)?.place(order(from, request)) ?: false
-        if (!isPlaced) ended(key.first, request.run, RunEnd.NOT_STARTED)
-        return RunAnswer(own.await())
+        stopRun(key)
+        return RunAnswer(run.end.await())
     }
 
     private fun order(from: VmIdentity, request: RemoteRunRequest) = with(request) {
-        RunOrder(run, from.incarnation, pool, payload, demand, estimateMs, requiredLabel, rack, maxPerWorker)
+        RunOrder(
+            run, from.incarnation, pool, payload, demand, estimateMs, requiredLabel, rack, maxPerWorker,
+            dispatch = dispatch, entryVm = entryVm ?: from.incarnation,
+        )
     }
 
-    /** [run], which the VM with the incarnation [origin] dispatched, has ended. */
-    fun ended(origin: String, run: TaskRun, end: RunEnd) {
-        val waiter = synchronized(lock) {
-            recentEnds[origin to run] = end
-            open.remove(origin to run)
+    /** The run [key] has ended. */
+    fun ended(key: RunKey, end: RunEnd) {
+        val now = clock.millis()
+        val run = synchronized(lock) {
+            recentEnds.put(key, end, now + END_KEPT_MS, now)
+            open.remove(key)
         }
-        waiter?.complete(end)
+        run?.end?.complete(end)
     }
 
     private companion object {
-        const val MAX_RECENT_ENDS = 2_000
+        /** How long the end of a run is kept, in ms: longer than a request or its cancellation can be on its way. */
+        const val END_KEPT_MS = 10_000L
     }
 }
--- a/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
@@ -42,25 +42,35 @@
 
 /**
  * A job for the owner of a cell, which runs it and replies with [JobAnswer]. The client submitted it [ageMs] ms ago and waits for
- * [remainingMs] ms more.
+ * [remainingMs] ms more. [attempt] counts the sender's submissions: an offer that is repeated has the same number and gets the same answer.
  */
 @Serializable
 @SerialName("JobOffer")
-data class JobOffer(val job: FleetJob, val queue: JobQueue, val ageMs: Long, val remainingMs: Long) : FleetMessage
+data class JobOffer(val job: FleetJob, val queue: JobQueue, val ageMs: Long, val remainingMs: Long, val attempt: Long = 0) : FleetMessage
 
 /** Reply to [JobOffer]. Without an [outcome], its sender is stopping and has not accepted the job. */
 @Serializable
 @SerialName("JobAnswer")
 data class JobAnswer(val outcome: JobOutcome? = null) : FleetMessage
 
-/** The client of a job has disconnected or cancelled it, or its deadline has passed. */
+/**
+ * The client of an offered job has disconnected or cancelled it, or its deadline has passed. The sender repeats it until it gets a
+ * [CancelAnswer]. It may arrive before the [JobOffer] with the same [attempt], which is then refused.
+ */
 @Serializable
 @SerialName("JobCancel")
-data class JobCancel(val jobId: String) : FleetMessage
+data class JobCancel(val jobId: String, val attempt: Long = 0) : FleetMessage
+
+/** Reply to [JobCancel]: the job has been cancelled, or will be when it arrives. */
+@Serializable
+@SerialName("CancelAnswer")
+data object CancelAnswer : FleetMessage
 
 /**
  * Asks another VM to start a run at once in its [cell], for a job that the sender dispatches. The reply, [RunAnswer], is sent when the run
- * has ended.
+ * has ended. [dispatch] is the sender's number of the submission: with it, a repeated request is recognised. The run is stopped if it has
+ * not ended after [remainingMs] ms, when the client no longer waits. [entryVm] is the incarnation of the VM that the client is connected
+ * to, null for the sender; the run is stopped if that VM is lost.
  */
 @Serializable
 @SerialName("RunLoan")
@@ -74,6 +84,9 @@
     val requiredLabel: String? = null,
     val rack: String? = null,
     val maxPerWorker: Int = 0,
+    val dispatch: Long = 0,
+    val remainingMs: Long? = null,
+    val entryVm: String? = null,
 ) : FleetMessage
 
 /** Reply to [RemoteRunRequest]. */
@@ -81,10 +94,13 @@
 @SerialName("RunAnswer")
 data class RunAnswer(val end: RunEnd) : FleetMessage
 
-/** The job of a remote run has ended; asks the receiver to stop the run. */
+/**
+ * The job of a remote run has ended; asks the receiver to stop the run. The reply, [RunAnswer], is sent when the run has ended; until then
+ * the sender repeats it. It may arrive before the [RemoteRunRequest] of the same run and [dispatch], which then starts nothing.
+ */
 @Serializable
 @SerialName("RunCancel")
-data class RunCancel(val run: TaskRun) : FleetMessage
+data class RunCancel(val run: TaskRun, val dispatch: Long = 0) : FleetMessage
 
 /** Asks the receiver to take over [cell], because the sender stops or the receiver is in the cell's data centre and the sender is not. */
 @Serializable
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/DispatchTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/DispatchTest.kt
@@ -41,8 +41,8 @@
                 val dispatch = Dispatch(ORIGIN)
                 val placer = FakePlacer(2)
                 dispatch.submit(submission(job("a", tasks = 2)), CORES, 0, placer).outcomes().shouldBeEmpty()
-                dispatch.onRunEnd(placer.placed[0].run, RunEnd.DONE, "w", 60).outcomes().shouldBeEmpty()
-                dispatch.onRunEnd(placer.placed[1].run, RunEnd.DONE, "w", 61).outcomes() shouldBe listOf(JobOutcome.Completed)
+                dispatch.onRunEnd(placer.placed[0].key, RunEnd.DONE, "w", 60).outcomes().shouldBeEmpty()
+                dispatch.onRunEnd(placer.placed[1].key, RunEnd.DONE, "w", 61).outcomes() shouldBe listOf(JobOutcome.Completed)
             }
 
             it("starts the tasks of a step only after the steps before it are done") {
@@ -51,7 +51,7 @@
                 val placer = FakePlacer(2)
                 dispatch.submit(submission(FleetJob("a", "", steps)), CORES, 0, placer)
                 placer.placed shouldHaveSize 1
-                dispatch.onRunEnd(placer.placed[0].run, RunEnd.DONE, "w", 60)
+                dispatch.onRunEnd(placer.placed[0].key, RunEnd.DONE, "w", 60)
                 dispatch.schedule(61, placer)
                 placer.placed.map { it.task.step } shouldBe listOf(0, 1)
             }
@@ -60,11 +60,11 @@
                 val dispatch = Dispatch(ORIGIN)
                 val placer = FakePlacer(3)
                 dispatch.submit(submission(job("a")), CORES, 0, placer)
-                dispatch.onRunEnd(placer.placed[0].run, RunEnd.LOST, "w", 10).outcomes().shouldBeEmpty()
+                dispatch.onRunEnd(placer.placed[0].key, RunEnd.LOST, "w", 10).outcomes().shouldBeEmpty()
                 dispatch.schedule(11, placer)
-                dispatch.onRunEnd(placer.placed[1].run, RunEnd.FAILED, "w", 20).outcomes().shouldBeEmpty()
+                dispatch.onRunEnd(placer.placed[1].key, RunEnd.FAILED, "w", 20).outcomes().shouldBeEmpty()
                 dispatch.schedule(21, placer)
-                dispatch.onRunEnd(placer.placed[2].run, RunEnd.FAILED, "w", 30).outcomes() shouldBe listOf(JobOutcome.Failed)
+                dispatch.onRunEnd(placer.placed[2].key, RunEnd.FAILED, "w", 30).outcomes() shouldBe listOf(JobOutcome.Failed)
                 placer.placed.map { it.run.run } shouldBe listOf(1, 2, 3)
             }
 
@@ -121,7 +121,7 @@
                 val dispatch = Dispatch(ORIGIN)
                 val placer = FakePlacer(2)
                 dispatch.submit(submission(job("a", tasks = 2), entryVm = "vm-2"), CORES, 0, placer)
-                dispatch.cancelFrom("vm-2").filterIsInstance<DispatchEvent.StopRun>() shouldHaveSize 2
+                dispatch.cancelFrom("vm-2", now = 10).filterIsInstance<DispatchEvent.StopRun>() shouldHaveSize 2
                 dispatch.size() shouldBe 0
             }
 
@@ -131,7 +131,7 @@
                 val placer = RunPlacer { order -> RunLocation.Remote("vm-2", "ham-a").also { placed += order } }
                 val long = Submission(job("a"), queue(), ORIGIN, arrivedAt = 0, deadlineAt = 5_000)
                 dispatch.submit(long, CORES, 0, placer)
-                dispatch.onRunEnd(placed.single().run, RunEnd.LOST, avoid = null, now = 100)
+                dispatch.onRunEnd(placed.single().key, RunEnd.LOST, avoid = null, now = 100)
                 dispatch.schedule(1_500, placer)
                 placed shouldHaveSize 1
                 dispatch.schedule(2_200, placer)
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
@@ -132,7 +132,7 @@
         events.forEach { event ->
             when (event) {
                 is DispatchEvent.Finished -> finished++
-                is DispatchEvent.StopRun -> handleCellEvents(cell.stopRuns { it.run == event.run })
+                is DispatchEvent.StopRun -> handleCellEvents(cell.stopRuns { it.key == event.key })
             }
         }
         while (pending.isNotEmpty()) start(pending.removeFirst())
@@ -202,7 +202,7 @@
 
     private fun handleCellEvents(events: List<CellEvent>) = events.forEach { event ->
         when (event) {
-            is CellEvent.Ended -> handleDispatchEvents(dispatch.onRunEnd(event.order.run, event.end, event.workerId, now))
+            is CellEvent.Ended -> handleDispatchEvents(dispatch.onRunEnd(event.order.key, event.end, event.workerId, now))
             is CellEvent.Stop -> stop(event)
             is CellEvent.PollRuns -> polls += event.workerId
             is CellEvent.Fenced -> violations += "$now: fenced although the cell has no other owner"
--- a/src/test/kotlin/dandelionpoint/fleet/JobForwarderTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/JobForwarderTest.kt
@@ -1,12 +1,12 @@
 package dandelionpoint.fleet
 
 import dandelionpoint.coordination.fleet.Dispatch
+import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.fleet.FleetJob
 import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.JobStep
-import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.peer.JobAnswer
 import dandelionpoint.protocol.peer.PeerLink
 import dandelionpoint.protocol.peer.PeerMessage
@@ -38,15 +38,16 @@
 
     override fun peer(incarnation: String): VmIdentity? = null
 
-    override fun stopRun(run: TaskRun) = Unit
+    override fun stopRun(key: RunKey) = Unit
 }
 
 private suspend fun outcome(vararg replies: PeerReply): JobOutcome {
     val link = ScriptedLink(replies.toMutableList())
-    val runner = JobRunner(CoroutineScope(Dispatchers.Default), Dispatch("incarnation-self"), RemoteCapacity(), link, NoFleet).also {
+    val scope = CoroutineScope(Dispatchers.Default)
+    val runner = JobRunner(scope, Dispatch("incarnation-self"), RemoteCapacity(), link, NoFleet).also {
         it.start()
     }
-    val forwarder = JobForwarder({ vm("self") }, runner, link, { true }, { vm("owner") })
+    val forwarder = JobForwarder(scope, { vm("self") }, runner, link, { true }, { vm("owner") })
     return forwarder.run(JOB, QUEUE, waitMs = 1_500)
 }
 
--- a/src/test/kotlin/dandelionpoint/fleet/RemoteRunServerTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/RemoteRunServerTest.kt
@@ -1,6 +1,7 @@
 package dandelionpoint.fleet
 
 import dandelionpoint.coordination.fleet.Cell
+import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.fleet.RunEnd
@@ -13,7 +14,8 @@
 import dandelionpoint.standin.fleet.MemoryWorkers
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
-import io.kotest.matchers.maps.shouldNotBeEmpty
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -41,17 +43,22 @@
 )
 
 /** A VM that owns the cell with the workers [entries] and serves remote runs in it. */
-private class CellOwner(entries: List<WorkerEntry>) : CellListener {
+private class CellOwner(private val entries: List<WorkerEntry>) : CellListener {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     val workers = MemoryWorkers(runMs = { RUN_MS }).apply { entries.forEach { add(it) } }
     private val controller = CellController(scope, Cell("akl-a", token = 1), workers, this).apply { updateWorkers(entries) }
-    private val server = RemoteRunServer { controller }
+    private val server = RemoteRunServer({ controller }, { key -> controller.stopRuns { it.key == key } })
 
-    override fun ended(order: RunOrder, end: RunEnd, workerId: String) = server.ended(order.origin, order.run, end)
+    override fun ended(order: RunOrder, end: RunEnd, workerId: String) = server.ended(order.key, end)
 
     override fun fenced(cell: String) = Unit
 
-    suspend fun awaitCapacity() = eventually(5.seconds) { controller.cell.freeCapacity(System.nanoTime() / 1_000_000).shouldNotBeEmpty() }
+    /** Waits until the run lists of all workers have been read. */
+    suspend fun awaitCapacity() = eventually(5.seconds) {
+        controller.cell.freeCapacity(System.nanoTime() / 1_000_000)[POOL].orEmpty() shouldHaveSize entries.size
+    }
+
+    suspend fun cancel(request: RemoteRunRequest) = server.cancel(RunKey(DISPATCHER.incarnation, request.dispatch, request.run))
 
     fun run(request: RemoteRunRequest) = scope.async { server.run(DISPATCHER, request) }
 
@@ -81,4 +88,44 @@
                 owner.close()
             }
         }
+
+        describe("the cancellation of a remote run") {
+            // Guards against a run that is started after its cancellation, because the request was repeated or delayed.
+            it("that arrives before the request makes the request start nothing") {
+                val owner = CellOwner(listOf(worker("w", "rack-1"))).apply { awaitCapacity() }
+                owner.cancel(request(index = 0)) shouldBe RunAnswer(RunEnd.NOT_STARTED)
+                owner.run(request(index = 0)).await() shouldBe RunAnswer(RunEnd.NOT_STARTED)
+                owner.workers.starts().shouldBeEmpty()
+                owner.close()
+            }
+
+            it("is answered once the run has ended, again when it is repeated") {
+                val owner = CellOwner(listOf(worker("w", "rack-1"))).apply { awaitCapacity() }
+                val run = owner.run(request(index = 0))
+                eventually(5.seconds) { owner.workers.starts().size shouldBe 1 }
+                owner.cancel(request(index = 0)) shouldBe RunAnswer(RunEnd.LOST)
+                owner.cancel(request(index = 0)) shouldBe RunAnswer(RunEnd.LOST)
+                run.await() shouldBe RunAnswer(RunEnd.LOST)
+                owner.close()
+            }
+        }
+
+        describe("a remote run that outlasts the client's request") {
+            // Guards against a run that goes on for as long as its work takes, although nobody waits for it.
+            it("is stopped when the client no longer waits") {
+                val owner = CellOwner(listOf(worker("w", "rack-1"))).apply { awaitCapacity() }
+                owner.run(request(index = 0).copy(remainingMs = RUN_MS / 4)).await() shouldBe RunAnswer(RunEnd.LOST)
+                owner.close()
+            }
+        }
+
+        describe("a submission that comes again") {
+            // Guards against the answer of an earlier submission's run, which has the same number, for a run of the new one.
+            it("gets a run of its own, not the end of the earlier run") {
+                val owner = CellOwner(listOf(worker("w", "rack-1"), worker("v", "rack-1"))).apply { awaitCapacity() }
+                owner.cancel(request(index = 0))
+                owner.run(request(index = 0).copy(dispatch = 1)).await() shouldBe RunAnswer(RunEnd.DONE)
+                owner.close()
+            }
+        }
     })
