Let the transport and the coroutine context of a fleet VM be passed in

Callers see no change: the defaults are the peer network over TCP and Dispatchers.Default, as before. FleetVm built both itself, so that whole VMs could only be tested in real time, with real sockets and a new random incarnation in each run.

PeerTransport is what FleetVm uses of PeerNetwork; PeerNetwork implements it. Transport, coroutine context and incarnation are parameters of FleetVm, so that several VMs can run in one test in virtual time, reproducibly.

--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -33,30 +33,39 @@
 import dandelionpoint.settings.FleetSettings
 import dandelionpoint.transport.peer.PeerAddress
 import dandelionpoint.transport.peer.PeerEvents
+import dandelionpoint.transport.peer.PeerHandler
 import dandelionpoint.transport.peer.PeerNetwork
+import dandelionpoint.transport.peer.PeerTransport
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import java.util.UUID
+import kotlin.coroutines.CoroutineContext
 
 private val log = KotlinLogging.logger {}
 
-/** One entry VM. Times are in ms. */
+/** Creates the connections of a VM to its peers, which run in the scope and pass the peers' messages to the handler. */
+internal typealias PeerTransportFactory = (CoroutineScope, PeerHandler) -> PeerTransport
+
+/** One entry VM. Its loops run in [context]. Times are in ms. */
 internal class FleetVm(
     private val settings: FleetSettings,
     private val ports: FleetPorts,
     private val clock: Clock = Clock.System,
     private val rules: FleetRules = FleetRules(leaseMs = settings.leaseMs.toLong()),
+    private val incarnation: String = UUID.randomUUID().toString(),
+    context: CoroutineContext = Dispatchers.Default,
+    transport: PeerTransportFactory = { scope, handler -> PeerNetwork(scope, CLUSTER, handler, NoPeerEvents) },
 ) : FleetJobService {
     /** Scope of all loops of this VM; [close] cancels it. */
-    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val incarnation = UUID.randomUUID().toString()
-    private val network: PeerNetwork = PeerNetwork(scope, CLUSTER, { from, message -> handle(from, message) }, NoPeerEvents)
+    val scope = CoroutineScope(context + SupervisorJob(context[Job]))
+    private val network: PeerTransport = transport(scope) { from, message -> handle(from, message) }
     private val liveness = PeerLiveness(rules.peerUnresponsiveMs)
     private val tables = FleetTables(ports, Tables(), clock, rules)
     private val cells = OwnedCells(scope, ports.workers, network, Runs(), { tables.workers() }, clock, rules)
--- a/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
@@ -8,7 +8,7 @@
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.millis
 import dandelionpoint.protocol.peer.FleetHeartbeat
-import dandelionpoint.transport.peer.PeerNetwork
+import dandelionpoint.transport.peer.PeerTransport
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
@@ -17,7 +17,7 @@
 
 /** Sends the heartbeats of one VM; [currentHeartbeat] builds one from the VM's present state. */
 internal class HeartbeatSender(
-    private val network: PeerNetwork,
+    private val network: PeerTransport,
     private val liveness: PeerLiveness,
     private val clock: Clock,
     private val currentHeartbeat: () -> FleetHeartbeat,
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -5,7 +5,6 @@
 package dandelionpoint.transport.peer
 
 import dandelionpoint.protocol.peer.PeerFrame
-import dandelionpoint.protocol.peer.PeerLink
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.PeerReply
 import dandelionpoint.protocol.peer.VmIdentity
@@ -28,9 +27,6 @@
 
 private val log = KotlinLogging.logger {}
 
-/** Address of a peer's port. */
-internal data class PeerAddress(val host: String, val port: Int)
-
 /** Listener for the start and end of outbound connections. */
 internal interface PeerEvents {
     fun connected(vm: VmIdentity)
@@ -45,7 +41,7 @@
     private val handler: PeerHandler,
     private val events: PeerEvents,
     private val codec: FrameCodec = FrameCodec(),
-) : PeerLink {
+) : PeerTransport {
     /** Counts of frames and bytes. */
     val traffic = PeerTraffic()
     private val selector = SelectorManager(Dispatchers.IO)
@@ -64,14 +60,12 @@
     private lateinit var server: ServerSocket
     private lateinit var local: LocalPeer
 
-    /** Binds the peer port; 0 means any free one. Returns the bound port. Throws IOException if the port is in use. */
-    suspend fun bind(host: String, port: Int): Int {
+    override suspend fun bind(host: String, port: Int): Int {
         server = aSocket(selector).tcp().bind(host, port)
         return server.port
     }
 
-    /** Starts to accept connections as [vm]. */
-    fun start(vm: VmIdentity) {
+    override fun start(vm: VmIdentity) {
         local = LocalPeer(cluster, vm) { connections.keys.toSet() }
         scope.launch {
             while (isActive) {
@@ -104,7 +98,7 @@
     }
 
     /** Opens a connection to [address] and reopens it until [retain] or [close] ends that. Ignores this VM's address and known ones. */
-    fun connect(address: PeerAddress) {
+    override fun connect(address: PeerAddress) {
         if (address == PeerAddress(local.vm.host, local.vm.port)) return
         reconnectors.computeIfAbsent(address) { scope.launch { keepConnected(address) } }
     }
@@ -168,23 +162,20 @@
     }
 
     /** Sends [message] to each of [receivers]; encodes it once. */
-    fun send(receivers: Collection<VmIdentity>, message: PeerMessage) {
+    override fun send(receivers: Collection<VmIdentity>, message: PeerMessage) {
         if (receivers.isEmpty()) return
         val bytes = codec.encode(PeerFrame(0, message = message))
         receivers.forEach { connections[it]?.send(bytes) }
     }
 
-    /** Closes the connections with [vm] in both directions, so that no message that was sent over them arrives later. */
-    fun drop(vm: VmIdentity) {
+    override fun drop(vm: VmIdentity) {
         connections[vm]?.close()
         inboundConnections.filter { it.remote == vm }.forEach { it.close() }
     }
 
-    /** Peers with an open outbound connection. */
-    fun connected(): Set<VmIdentity> = connections.keys.toSet()
+    override fun connected(): Set<VmIdentity> = connections.keys.toSet()
 
-    /** Closes the port and all connections. */
-    fun close() {
+    override fun close() {
         reconnectors.values.forEach { it.cancel() }
         runCatching { server.close() }
         connections.values.forEach { it.close() }
