--- a/src/test/kotlin/dandelionpoint/endtoend/PlatformScenarios.kt
+++ b/src/test/kotlin/dandelionpoint/endtoend/PlatformScenarios.kt
@@ -6,6 +6,7 @@
 package dandelionpoint.endtoend
 
 import dandelionpoint.protocol.JobState
+import dandelionpoint.testsupport.unlessKnownRed
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.describeSpec
--- a/src/test/kotlin/dandelionpoint/endtoend/WorkerScenarios.kt
+++ b/src/test/kotlin/dandelionpoint/endtoend/WorkerScenarios.kt
@@ -4,6 +4,7 @@
  */
 package dandelionpoint.endtoend
 
+import dandelionpoint.testsupport.unlessKnownRed
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.describeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
--- a/src/test/kotlin/dandelionpoint/endtoend/KnownRed.kt
+++ b/src/test/kotlin/dandelionpoint/testsupport/KnownRed.kt
@@ -1,5 +1,5 @@
 /* Skips the tests that KNOWN-RED.txt lists as known to fail, and prints the file. `-DknownRed=run` runs them. */
-package dandelionpoint.endtoend
+package dandelionpoint.testsupport
 
 import io.kotest.core.test.Enabled
 import io.kotest.core.test.EnabledOrReasonIf
