Test whole fleets in virtual time for two runs of one task at once

No test ran several whole entry VMs with faults of the network, so that the cause could only be read from the code.

OneRunPerTaskTest runs five VMs in three data centres, nine workers and their clients in virtual time, with one test for each kind of fault and one for all kinds together. Workers have one lease on a clock up to 2 % slow, fencing tokens, refusals, numbered ends and stops that take up to 50 ms. Messages are delayed, overtake each other and are lost with their connection. A paused VM keeps its messages and timeouts until it resumes. At each start on a worker no other run of the task may be in progress on any worker.

--- /dev/null
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/FleetSimulation.kt
@@ -0,0 +1,135 @@
+/*
+ * A simulated fleet of entry VMs, workers and clients in virtual time, with injected faults. At each start on a worker it checks that no
+ * other run of the same task is in progress on any worker.
+ */
+package dandelionpoint.fleet.simulation
+
+import dandelionpoint.fleet.DocumentReader
+import dandelionpoint.fleet.FleetPorts
+import dandelionpoint.fleet.SharedTables
+import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.FleetConfiguration
+import dandelionpoint.protocol.fleet.JobQueue
+import dandelionpoint.protocol.fleet.StartOrder
+import dandelionpoint.protocol.fleet.TaskRun
+import dandelionpoint.protocol.fleet.WorkerEntry
+import dandelionpoint.standin.fleet.MemoryRows
+import kotlinx.coroutines.cancel
+
+/** Two runs of one task in progress at the same time, with the events that led there. */
+internal data class OverlappingRuns(val description: String) {
+    override fun toString() = description
+}
+
+/** The fleet of the seed [seed], with faults of [kinds]. */
+internal class FleetSimulation(private val seed: Long, kinds: List<FaultKind>) {
+    private val world = SimulationWorld(seed)
+    private val queue = JobQueue(name = "lookups", pool = POOL, maxAttempts = 2, stretch = 2.0, latencyTargetMs = 600)
+    private val rows = MemoryRows(world.clock)
+    private val tables = SharedTables(workers = "workers", operator = "operator", configurationKey = "configuration")
+
+    /** VM that dispatched a remote run, by the run, its submission and the VM that was asked to start it. */
+    private val origins = HashMap<Triple<TaskRun, String, String>, String>()
+    private val network = SimulatedNetwork(world) { from, to, request ->
+        origins[Triple(request.run, request.payload, to.name)] = from.incarnation
+    }
+    private val entries = DATA_CENTRES.flatMap { dataCentre ->
+        List(WORKERS_PER_DATA_CENTRE) { index ->
+            WorkerEntry("$dataCentre-worker-$index", POOL, "simulated", 1, dataCentre, isDraining = false, CAPACITY, startedAtMs = 1)
+        }
+    }.associateBy { it.id }
+    private val calls = WorkerCallFaults(world)
+    private val vms = VMS.mapIndexed { index, (name, dataCentre) ->
+        SimulatedVm(world, network, SimulatedVm.settings(name, dataCentre, FIRST_PORT + index), ports(name))
+    }
+    private val clients = SimulatedClients(world, vms, queue)
+    private val workers: Map<String, SimulatedWorker> = entries.mapValues { (_, entry) ->
+        SimulatedWorker(entry, world, clockRate = 1 - world.random.nextDouble() * MAX_CLOCK_LAG, clients::workOf, ::checkStart)
+    }
+    private val faults = FaultInjector(world, network, vms, calls, kinds)
+
+    /** Violations found by [run]. */
+    val violations = mutableListOf<OverlappingRuns>()
+    var starts = 0
+        private set
+
+    val errors: List<Throwable> get() = world.errors
+    val completedJobs: Int get() = clients.completed
+
+    /** Counts that show how much happened, and a checksum of all events. */
+    val summary: String
+        get() = "jobs=${clients.submitted} completed=${clients.completed} submissions=${clients.submissions} starts=$starts " +
+            "faults=${world.events.count { it.jobId == null }} events=${world.events.hashCode()}"
+
+    private fun ports(vm: String) = FleetPorts(
+        store = SimulatedStore(world, rows),
+        tables = tables,
+        documents = Documents(),
+        workers = SimulatedWorkerPort(world, { workers.getValue(it) }, vm, calls) { originOf(it, vm) },
+        canConnect = { true },
+    )
+
+    private fun originOf(order: StartOrder, caller: String): String = origins[Triple(order.run, order.payload, caller)] ?: caller
+
+    private inner class Documents : DocumentReader {
+        override fun worker(id: String, bytes: ByteArray): WorkerEntry? = entries[id]
+
+        override fun configuration(bytes: ByteArray) = FleetConfiguration(version = 1, routes = emptyList(), document = "")
+    }
+
+    /** Runs the simulation to its end. */
+    fun run() {
+        rows.put(tables.operator, tables.configurationKey, byteArrayOf())
+        entries.keys.forEach { rows.put(tables.workers, it, byteArrayOf()) }
+        vms.forEach { it.start() }
+        world.advance(TRAFFIC_FROM_MS)
+        clients.submitUntil(TRAFFIC_UNTIL_MS)
+        faults.run(FAULTS_AFTER_MS, FAULTS_UNTIL_MS)
+        world.advance(END_MS - TRAFFIC_FROM_MS)
+        vms.forEach { it.kill(isMachineLost = true) }
+        world.scope.cancel()
+    }
+
+    private fun checkStart(run: SimulatedRun) {
+        starts++
+        val jobId = run.order.run.task.jobId
+        world.record(jobId, "start of ${run.describe()}")
+        workers.values.flatMap { it.runsOf(run.order.run.task) }.forEach { other -> violations += overlap(other, run) }
+    }
+
+    private fun overlap(earlier: SimulatedRun, later: SimulatedRun): OverlappingRuns {
+        val now = world.now()
+        val task = later.order.run.task
+        val related = world.events.filter { it.jobId == task.jobId || (it.jobId == null && it.at >= now - FAULTS_SHOWN_MS) }
+        val lines = related.joinToString("\n") { "    ${it.at} ${if (it.jobId == null) "FAULT " else ""}${it.text}" }
+        return OverlappingRuns(
+            "seed $seed, $now ms: two runs of $task\n  earlier: ${earlier.describe()}\n  later:   ${later.describe()}\n$lines",
+        )
+    }
+
+    private fun SimulatedRun.describe() =
+        "run ${order.run.run} of ${order.run.task.step}.${order.run.task.index} on $workerId at $startedAt" +
+            " (token ${order.token}, ordered by $caller, dispatched by $origin, ${order.payload})"
+
+    private companion object {
+        const val POOL = "pool"
+        val CAPACITY = Demand(cpuMilli = 4_000, memoryMb = 8_192)
+        val DATA_CENTRES = listOf("akl-a", "ham-a", "tga-a")
+        val VMS = listOf("a1" to "akl-a", "a2" to "akl-a", "h1" to "ham-a", "h2" to "ham-a", "t1" to "tga-a")
+        const val WORKERS_PER_DATA_CENTRE = 3
+        const val FIRST_PORT = 1_000
+
+        /** A worker's clock runs at most this share slower than the VMs' clocks. */
+        const val MAX_CLOCK_LAG = 0.02
+
+        /** Time at which clients begin to submit jobs; by then all cells have owners. */
+        const val TRAFFIC_FROM_MS = 2_500L
+        const val FAULTS_AFTER_MS = 1_000L
+        const val FAULTS_UNTIL_MS = 11_000L
+        const val TRAFFIC_UNTIL_MS = 12_000L
+        const val END_MS = 15_000L
+
+        /** Faults this long before a violation are part of its description, in ms. */
+        const val FAULTS_SHOWN_MS = 3_000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedClients.kt
@@ -0,0 +1,98 @@
+/*
+ * Clients of a simulated fleet. A client submits its job to a random VM and submits it again, under the same id, some time after a broken
+ * connection, status 504 (`GivenUp`) or no answer by its deadline.
+ */
+package dandelionpoint.fleet.simulation
+
+import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.FleetJob
+import dandelionpoint.protocol.fleet.JobOutcome
+import dandelionpoint.protocol.fleet.JobQueue
+import dandelionpoint.protocol.fleet.JobStep
+import dandelionpoint.protocol.fleet.TaskRef
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** All clients, which submit jobs to [vms] on [queue]. */
+internal class SimulatedClients(private val world: SimulationWorld, private val vms: List<SimulatedVm>, private val queue: JobQueue) {
+    private val slowness = HashMap<String, Int>()
+    private val jobs = HashMap<String, FleetJob>()
+    private var nextJob = 1
+
+    var completed = 0
+        private set
+    var submissions = 0
+        private set
+
+    val submitted: Int get() = jobs.size
+
+    /** Real work of [task]; some jobs take far longer than their estimate. */
+    fun workOf(task: TaskRef): TaskWork {
+        val step = jobs.getValue(task.jobId).steps[task.step]
+        return TaskWork(step.demand, step.estimateMs * slowness.getValue(task.jobId))
+    }
+
+    /** Submits jobs until the time [until]. */
+    fun submitUntil(until: Long) {
+        world.scope.launch {
+            while (world.now() < until) {
+                val job = newJob()
+                launch { submit(job) }
+                delay(world.random.nextLong(MIN_GAP_MS, MAX_GAP_MS))
+            }
+        }
+    }
+
+    private fun newJob(): FleetJob {
+        val steps = List(if (world.chance(TWO_STEP_SHARE)) 2 else 1) { number ->
+            val count = world.random.nextInt(1, MAX_TASKS + 1)
+            val estimateMs = world.random.nextLong(MIN_TASK_MS, MAX_TASK_MS)
+            JobStep(count, Demand(TASK_CPU_MILLI), estimateMs, after = if (number == 0) emptyList() else listOf(number - 1))
+        }
+        val job = FleetJob("%016x".format(nextJob++), "", steps)
+        jobs[job.id] = job
+        slowness[job.id] = if (world.chance(SLOW_SHARE)) SLOW_FACTOR else 1
+        return job
+    }
+
+    private suspend fun submit(job: FleetJob) {
+        repeat(MAX_SUBMISSIONS) { number ->
+            if (number > 0) delay(RESUBMIT_DELAY_MS)
+            val outcome = (submitOnce(job, number + 1) as? ClientAnswer.Outcome)?.outcome
+            if (outcome == JobOutcome.Completed) completed++
+            if (outcome != null && outcome !is JobOutcome.GivenUp) return
+        }
+    }
+
+    /** Returns null if there was no answer by the deadline. The payload shows in a report to which submission a run belongs. */
+    private suspend fun submitOnce(job: FleetJob, number: Int): ClientAnswer? {
+        val vm = vms.filter { it.isUp }.randomOrNull(world.random) ?: return ClientAnswer.ConnectionBroken
+        val connection = ClientConnection(job.copy(payload = "submission $number via ${vm.name}"))
+        submissions++
+        world.record(job.id, "submission $number to ${vm.name}")
+        world.scope.launch {
+            world.hop()
+            vm.serve(connection, queue, DEADLINE_MS)
+        }
+        val answer = withTimeoutOrNull(DEADLINE_MS) { connection.answer.await() }
+        if (answer == null) connection.close()
+        world.record(job.id, "submission $number: ${answer ?: "no answer by the deadline"}")
+        return answer
+    }
+
+    private companion object {
+        const val MIN_GAP_MS = 20L
+        const val MAX_GAP_MS = 160L
+        const val DEADLINE_MS = 1_500L
+        const val RESUBMIT_DELAY_MS = 1_300L
+        const val MAX_SUBMISSIONS = 4
+        const val TWO_STEP_SHARE = 0.2
+        const val MAX_TASKS = 4
+        const val MIN_TASK_MS = 60L
+        const val MAX_TASK_MS = 900L
+        const val TASK_CPU_MILLI = 1_000
+        const val SLOW_SHARE = 0.1
+        const val SLOW_FACTOR = 4
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedNetwork.kt
@@ -0,0 +1,51 @@
+/* The network between simulated VMs: which processes listen, which connections are open and which paths are cut. */
+package dandelionpoint.fleet.simulation
+
+import dandelionpoint.protocol.peer.RemoteRunRequest
+import dandelionpoint.protocol.peer.VmIdentity
+import dandelionpoint.transport.peer.PeerAddress
+
+/** All VMs and their connections. [onRemoteRun] is called for each request for a remote run that is sent. */
+internal class SimulatedNetwork(val world: SimulationWorld, val onRemoteRun: (VmIdentity, VmIdentity, RemoteRunRequest) -> Unit) {
+    private val listening = LinkedHashMap<PeerAddress, SimulatedTransport>()
+    private val connections = mutableListOf<SimulatedConnection>()
+    private val cuts = HashMap<Pair<String, String>, Long>()
+
+    fun listen(address: PeerAddress, transport: SimulatedTransport) {
+        listening[address] = transport
+    }
+
+    fun listener(address: PeerAddress): SimulatedTransport? = listening[address]
+
+    fun add(connection: SimulatedConnection) {
+        connections += connection
+    }
+
+    /** Connections with at least one open end. */
+    fun open(): List<SimulatedConnection> {
+        connections.removeAll { !it.isOpen }
+        return connections.toList()
+    }
+
+    /** Delivers nothing that the VM [from] sends to the VM [to] for [ms]. */
+    fun cut(from: String, to: String, ms: Long) {
+        cuts.merge(from to to, world.now() + ms, ::maxOf)
+    }
+
+    fun cutUntil(from: String, to: String): Long = cuts[from to to] ?: 0L
+
+    fun isCut(one: String, other: String): Boolean = maxOf(cutUntil(one, other), cutUntil(other, one)) > world.now()
+
+    /** Ends the process of [transport]. Its peers see its connections close unless its whole machine is lost ([isMachineLost]). */
+    fun kill(transport: SimulatedTransport, isMachineLost: Boolean) {
+        listening.values.remove(transport)
+        open().forEach { connection ->
+            ConnectionEnd.entries.filter { connection.transportAt(it) === transport }.forEach {
+                connection.close(it, isTold = !isMachineLost)
+            }
+        }
+    }
+
+    /** Resets the connections of the VM [name] that an earlier incarnation left open. */
+    fun resetConnectionsOf(name: String) = open().filter { it.client.name == name || it.server.name == name }.forEach { it.reset() }
+}
--- /dev/null
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
@@ -0,0 +1,135 @@
+/* The peer connections of one process of a simulated VM, with the semantics of `PeerNetwork`. */
+package dandelionpoint.fleet.simulation
+
+import dandelionpoint.protocol.peer.PeerMessage
+import dandelionpoint.protocol.peer.PeerReply
+import dandelionpoint.protocol.peer.RemoteRunRequest
+import dandelionpoint.protocol.peer.VmIdentity
+import dandelionpoint.transport.peer.PeerAddress
+import dandelionpoint.transport.peer.PeerHandler
+import dandelionpoint.transport.peer.PeerTransport
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Connections of the VM [name]; [scope] is that of the VM, so that they stand still while it is paused. */
+internal class SimulatedTransport(
+    private val network: SimulatedNetwork,
+    val name: String,
+    private val scope: CoroutineScope,
+    private val handler: PeerHandler,
+) : PeerTransport {
+    private val world = network.world
+    private val outbound = LinkedHashMap<VmIdentity, SimulatedConnection>()
+    private val inbound = LinkedHashSet<SimulatedConnection>()
+    private val reconnectors = LinkedHashMap<PeerAddress, Job>()
+    private lateinit var address: PeerAddress
+    lateinit var self: VmIdentity
+        private set
+
+    override suspend fun bind(host: String, port: Int): Int {
+        address = PeerAddress(host, port)
+        return port
+    }
+
+    override fun start(vm: VmIdentity) {
+        self = vm
+        network.resetConnectionsOf(name)
+        network.listen(address, this)
+    }
+
+    /** Runs [block] in this process. */
+    fun launch(block: suspend () -> Unit) {
+        scope.launch { block() }
+    }
+
+    override fun connect(address: PeerAddress) {
+        if (address == this.address) return
+        reconnectors.getOrPut(address) { scope.launch { keepConnected(address) } }
+    }
+
+    private suspend fun keepConnected(address: PeerAddress) {
+        while (true) {
+            open(address)?.clientClosed?.await()
+            delay(MIN_RECONNECT_DELAY_MS + world.random.nextLong(MAX_EXTRA_RECONNECT_DELAY_MS))
+        }
+    }
+
+    private suspend fun open(address: PeerAddress): SimulatedConnection? {
+        val target = network.listener(address) ?: return null
+        if (network.isCut(name, target.name)) {
+            delay(CONNECT_TIMEOUT_MS)
+            return null
+        }
+        val connection = SimulatedConnection(network, client = this, server = target)
+        network.add(connection)
+        val accepted = CompletableDeferred<Unit>()
+        connection.transmit(ConnectionEnd.CLIENT) {
+            target.launch {
+                target.accept(connection, this.address)
+                connection.transmit(ConnectionEnd.SERVER) { accepted.complete(Unit) }
+            }
+        }
+        if (withTimeoutOrNull(HELLO_TIMEOUT_MS) { accepted.await() } == null || connection.isClosedAt(ConnectionEnd.CLIENT)) {
+            connection.close(ConnectionEnd.CLIENT)
+            return null
+        }
+        outbound[target.self] = connection
+        return connection
+    }
+
+    private fun accept(connection: SimulatedConnection, from: PeerAddress) {
+        if (!connection.isClosedAt(ConnectionEnd.SERVER)) inbound += connection
+        connect(from)
+    }
+
+    /** Forgets [connection], whose end at this VM is closed. */
+    fun remove(connection: SimulatedConnection) {
+        outbound.values.remove(connection)
+        inbound.remove(connection)
+    }
+
+    override suspend fun call(to: VmIdentity, message: PeerMessage, timeoutMs: Long): PeerReply {
+        val connection = outbound[to] ?: return PeerReply.NotSent("no connection to ${to.name}")
+        if (message is RemoteRunRequest) network.onRemoteRun(self, to, message)
+        val call = connection.openCall()
+        connection.transmit(ConnectionEnd.CLIENT) {
+            connection.server.launch {
+                val reply = connection.server.handler(self, message)
+                if (reply != null) connection.transmit(ConnectionEnd.SERVER) { call.complete(PeerReply.Answered(reply)) }
+            }
+        }
+        val reply = withTimeoutOrNull(timeoutMs) { call.await() }
+        connection.endCall(call)
+        return reply ?: PeerReply.Lost("no reply from ${to.name} within $timeoutMs ms")
+    }
+
+    override fun send(to: VmIdentity, message: PeerMessage) {
+        val connection = outbound[to] ?: return
+        connection.transmit(ConnectionEnd.CLIENT) { connection.server.launch { connection.server.handler(self, message) } }
+    }
+
+    override fun send(receivers: Collection<VmIdentity>, message: PeerMessage) = receivers.forEach { send(it, message) }
+
+    override fun connected(): Set<VmIdentity> = outbound.keys.toSet()
+
+    override fun drop(vm: VmIdentity) {
+        outbound[vm]?.close(ConnectionEnd.CLIENT)
+        inbound.filter { it.client.self == vm }.forEach { it.close(ConnectionEnd.SERVER) }
+    }
+
+    override fun close() {
+        reconnectors.values.forEach { it.cancel() }
+        network.kill(this, isMachineLost = false)
+    }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MS = 1_000L
+        const val HELLO_TIMEOUT_MS = 2_000L
+        const val MIN_RECONNECT_DELAY_MS = 100L
+        const val MAX_EXTRA_RECONNECT_DELAY_MS = 300L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
@@ -0,0 +1,129 @@
+/* One entry VM of a simulated fleet: its process may be paused, or end and be started again as a new incarnation. */
+package dandelionpoint.fleet.simulation
+
+import dandelionpoint.fleet.FleetPorts
+import dandelionpoint.fleet.FleetVm
+import dandelionpoint.protocol.fleet.FleetJob
+import dandelionpoint.protocol.fleet.JobOutcome
+import dandelionpoint.protocol.fleet.JobQueue
+import dandelionpoint.settings.FleetSettings
+import dandelionpoint.settings.HostAndPort
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+
+/** What a client sees of its request. */
+internal sealed interface ClientAnswer {
+    data class Outcome(val outcome: JobOutcome) : ClientAnswer
+
+    data object ConnectionBroken : ClientAnswer
+}
+
+/** A client's connection with one request. A running VM soon notices that it [isClosed]. */
+internal class ClientConnection(val job: FleetJob) {
+    val answer = CompletableDeferred<ClientAnswer>()
+    var isClosed = false
+        private set
+
+    fun close() {
+        isClosed = true
+        answer.complete(ClientAnswer.ConnectionBroken)
+    }
+}
+
+/** An entry VM. [settings] and [ports] are those of each of its incarnations. */
+internal class SimulatedVm(
+    private val world: SimulationWorld,
+    private val network: SimulatedNetwork,
+    private val settings: FleetSettings,
+    private val ports: FleetPorts,
+) {
+    /** A process of this VM. */
+    private class Incarnation(val vm: FleetVm, val dispatcher: PausableDispatcher, val transport: SimulatedTransport)
+
+    val name: String get() = settings.name
+    private var incarnations = 0
+    private var current: Incarnation? = null
+    private val clients = LinkedHashSet<ClientConnection>()
+
+    val isUp: Boolean get() = current != null
+    val isPaused: Boolean get() = current?.dispatcher?.isPaused == true
+    val openClients: List<ClientConnection> get() = clients.filter { !it.isClosed }
+
+    fun start() {
+        incarnations++
+        val dispatcher = PausableDispatcher(world.dispatcher, world.random)
+        lateinit var transport: SimulatedTransport
+        val vm = FleetVm(
+            settings = settings,
+            ports = ports,
+            clock = world.clock,
+            incarnation = "$name-$incarnations",
+            context = dispatcher + world.errorHandler,
+            transport = { scope, handler -> SimulatedTransport(network, name, scope, handler).also { transport = it } },
+        )
+        current = Incarnation(vm, dispatcher, transport)
+        vm.scope.launch { vm.start() }
+    }
+
+    /** Ends the process. Clients and peers see their connections close unless the whole machine is lost ([isMachineLost]). */
+    fun kill(isMachineLost: Boolean) {
+        val ended = current ?: return
+        current = null
+        ended.dispatcher.end()
+        network.kill(ended.transport, isMachineLost)
+        if (!isMachineLost) openClients.forEach { it.close() }
+        clients.clear()
+    }
+
+    /** Pauses the process for [ms], unless it ends before. */
+    fun pause(ms: Long) {
+        val paused = current ?: return
+        paused.dispatcher.pause()
+        world.scope.launch {
+            delay(ms)
+            paused.dispatcher.resume()
+        }
+    }
+
+    /** Serves the request of [connection]. A VM that is down refuses the connection; a paused one reads the request when it resumes. */
+    fun serve(connection: ClientConnection, queue: JobQueue, waitMs: Long) {
+        val vm = current?.vm ?: return connection.close()
+        clients += connection
+        vm.scope.launch {
+            val watch = launch { watch(vm, connection) }
+            val outcome = vm.run(connection.job, queue, waitMs)
+            watch.cancel()
+            clients -= connection
+            world.scope.launch {
+                world.hop()
+                connection.answer.complete(ClientAnswer.Outcome(outcome))
+            }
+        }
+    }
+
+    private suspend fun watch(vm: FleetVm, connection: ClientConnection) {
+        delay(world.random.nextLong(1, CLOSE_SEEN_MS))
+        while (!connection.isClosed) delay(CLOSE_SEEN_MS)
+        world.record(connection.job.id, "$name is told that the client has disconnected")
+        vm.cancel(connection.job.id)
+    }
+
+    companion object {
+        /** Interval at which a VM looks for closed connections of clients, in ms. */
+        const val CLOSE_SEEN_MS = 100L
+
+        fun settings(name: String, dataCentre: String, port: Int) = FleetSettings(
+            name = name,
+            region = "north",
+            dataCentre = dataCentre,
+            clients = HostAndPort(HOST, 0),
+            readiness = null,
+            peers = HostAndPort(HOST, port),
+            seedPeers = emptyList(),
+            store = HostAndPort(HOST, 1),
+        )
+
+        private const val HOST = "simulated"
+    }
+}
