Add failing tests of work that a VM accepts after a pause

Tests only; the fixes follow.

- A heartbeat that is read before the pause has been noticed is dated into the future, so that the loss of its sender is noticed late.
- The job of a client that has disconnected before its submission is read is started, and cancelled only at the next poll of the connections.

InProcessFleet.vm takes the clock of the VM, so that the pauses take no time.

--- a/src/main/kotlin/dandelionpoint/standin/fleet/InProcessFleet.kt
+++ b/src/main/kotlin/dandelionpoint/standin/fleet/InProcessFleet.kt
@@ -5,6 +5,7 @@
 import dandelionpoint.fleet.FleetPorts
 import dandelionpoint.fleet.FleetVm
 import dandelionpoint.fleet.SharedTables
+import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.fleet.FleetConfiguration
 import dandelionpoint.protocol.fleet.JobQueue
@@ -50,8 +51,8 @@
         store.put(tables.operator, tables.configurationKey, "1".encodeToByteArray())
     }
 
-    /** Creates an entry VM in [dataCentre] without starting it. */
-    fun vm(name: String, dataCentre: String): FleetVm {
+    /** Creates an entry VM in [dataCentre] without starting it. [clock] is that of the VM alone. */
+    fun vm(name: String, dataCentre: String, clock: Clock = Clock.System): FleetVm {
         val settings = FleetSettings(
             name = name,
             region = "trial",
@@ -62,7 +63,7 @@
             seedPeers = emptyList(),
             store = HostAndPort(LOOPBACK, 1),
         )
-        return FleetVm(settings, FleetPorts(store, tables, documents, workers, canConnect = { true }))
+        return FleetVm(settings, FleetPorts(store, tables, documents, workers, canConnect = { true }), clock)
     }
 
     /** Writes a row that marks the worker [id] as draining. */
--- /dev/null
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/PeerLivenessTest.kt
@@ -0,0 +1,30 @@
+package dandelionpoint.coordination.fleet
+
+import dandelionpoint.protocol.peer.FleetHeartbeat
+import dandelionpoint.protocol.peer.VmIdentity
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+
+private val PEER = VmIdentity("peer", "incarnation-peer", "north", "akl-a", "127.0.0.1", 1)
+
+/** Guards against peers that are taken for lost because this VM was paused, and against lost peers that are noticed too late. */
+internal class PeerLivenessTest :
+    DescribeSpec({
+        describe("a pause of this VM") {
+            it("is not counted as silence of its peers") {
+                val liveness = PeerLiveness(unresponsiveMs = 700)
+                liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 1_000)
+                liveness.onProcessPause(3_000)
+                liveness.removeLost(now = 4_050).shouldBeEmpty()
+            }
+
+            // The jobs of a lost peer's clients would go on for the length of the pause, while the clients submit them again.
+            it("does not delay the loss of a peer whose heartbeat was read before the pause was noticed") {
+                val liveness = PeerLiveness(unresponsiveMs = 700)
+                liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 4_000)
+                liveness.onProcessPause(3_000)
+                liveness.removeLost(now = 4_701) shouldBe listOf(PEER)
+            }
+        }
+    })
--- a/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
@@ -7,6 +7,7 @@
 import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.JobStep
 import dandelionpoint.protocol.fleet.QueueRoute
+import io.kotest.assertions.nondeterministic.continually
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
@@ -17,23 +18,39 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private const val LOOPBACK = "127.0.0.1"
 private const val ID = "0000000000000001"
 
+/** By then the end of a closed connection has arrived over loopback. */
+private const val DISCONNECT_ARRIVES_MS = 100L
+
 /** A service with one queue, below /q/ on host h. Each job ends with the value that [outcome] is completed with. */
 private class ScriptedService(val outcome: CompletableDeferred<JobOutcome> = CompletableDeferred()) : FleetJobService {
     var cancelled = 0
+    val started = AtomicInteger()
+
+    /** Each request is read no further until this is complete. */
+    var isReadable: CompletableFuture<Unit> = CompletableFuture.completedFuture(Unit)
     override val isReady = true
     override val isStopping = false
     override val hasConfiguration = true
 
-    override fun route(host: String, path: String) =
-        if (host == "h" && path.startsWith("/q/")) QueueRoute("h", "/q/", JobQueue("q", "p")) else null
+    override fun route(host: String, path: String): QueueRoute? {
+        isReadable.join()
+        return if (host == "h" && path.startsWith("/q/")) QueueRoute("h", "/q/", JobQueue("q", "p")) else null
+    }
 
-    override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long): JobOutcome = outcome.await()
+    override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long): JobOutcome {
+        started.incrementAndGet()
+        return outcome.await()
+    }
 
     override fun cancel(jobId: String): Boolean {
         cancelled++
@@ -127,6 +144,19 @@
                 }
             }
 
+            // Another VM may already run the job of a client that has given up while its submission lay in the socket.
+            it("that has disconnected before its submission is read does not have its job started") {
+                val service = ScriptedService()
+                service.isReadable = CompletableFuture()
+                withServer(service) { server, port ->
+                    Client(port).use { it.post() }
+                    delay(DISCONNECT_ARRIVES_MS)
+                    service.isReadable.complete(Unit)
+                    continually(300.milliseconds) { service.started.get() shouldBe 0 }
+                    server.open() shouldBe 0
+                }
+            }
+
             it("whose job is refused gets status 503 and the time after which to retry") {
                 withServer(ScriptedService(CompletableDeferred(JobOutcome.NotRun("no free capacity in time", 1_000)))) { _, port ->
                     Client(port).use { client ->
