Do not start a job whose client has already disconnected

A client that gives up closes its connection and submits the job to another VM 1.3 s later. If its first submission is read after that, because the VM was paused or had no processor time, the VM started the job and cancelled it only at the next poll of the connections, up to 100 ms later: two runs of one task.

The connection is now checked when it is added to those that are polled, before the job is started. A submission whose client has disconnected is answered with 503. The job's id is not cancelled, since the client may have submitted the same job again to this VM.

Ruled out: the poll alone, which cannot see a connection before its request is watched.

Failed before the change: PlatformClientsTest.a client/that has disconnected before its submission is read does not have its job started: Test failed after 76.782605ms; expected to pass for 300ms; attempted 3 times

--- a/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
@@ -114,6 +114,7 @@
     private fun run(context: Context, route: QueueRoute, body: SubmittedBody.BestEffort) {
         val waitMs = context.header("Deadline-Remaining-Ms")?.toLongOrNull() ?: DEFAULT_WAIT_MS
         val entry = watch.watch(context.req()) { service.cancel(body.job.id) }
+            ?: return sendError(context, UNAVAILABLE, "not run: the client has disconnected")
         context.future {
             scope.future {
                 try {
--- a/src/main/kotlin/dandelionpoint/transport/http/ClientDisconnectMonitor.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/ClientDisconnectMonitor.kt
@@ -23,17 +23,20 @@
             private set
 
         internal fun poll() {
-            val open = channel ?: return
+            if (isConnected()) return
+            entries.remove(this)
+            onDisconnect()
+        }
+
+        internal fun isConnected(): Boolean {
+            val open = channel ?: return true
             val count = try {
                 open.read(ByteBuffer.allocate(1))
             } catch (_: IOException) {
                 END_OF_STREAM
             }
             if (count > 0) mustClose = true
-            if (count < 0) {
-                entries.remove(this)
-                onDisconnect()
-            }
+            return count != END_OF_STREAM
         }
 
         /** Stops polling this request; to be called before the response is written. */
@@ -44,10 +47,16 @@
 
     private val entries = ConcurrentHashMap.newKeySet<Entry>()
 
-    /** Adds the connection of [request] to those that are polled. [onDisconnect] is called once if the client closes it. */
-    fun watch(request: HttpServletRequest, onDisconnect: () -> Unit): Entry {
+    /**
+     * Adds the connection of [request] to those that are polled. [onDisconnect] is called once if the client closes it. Returns null if the
+     * client has closed it already.
+     */
+    fun watch(request: HttpServletRequest, onDisconnect: () -> Unit): Entry? {
         val endPoint = ServletContextRequest.getServletContextRequest(request)?.connectionMetaData?.connection?.endPoint
-        return Entry(endPoint?.transport as? SocketChannel, onDisconnect).also { entries.add(it) }
+        val entry = Entry(endPoint?.transport as? SocketChannel, onDisconnect)
+        if (!entry.isConnected()) return null
+        entries.add(entry)
+        return entry
     }
 
     /** Polls the connection of every open request once. */
