Discard what a dropped peer connection has received

PeerNetwork.drop says that no message sent over the closed connections arrives later. Frames that were already in the connection's read buffer were still handled: after the loss of a peer, its job offers and requests for runs were carried out although its jobs had just been ended.

A closed connection now handles no further frame.

Failed before the change: PeerNetworkTest.a connection that is dropped/delivers no message that was received before and not handled yet: Test failed after 203.095787ms; expected to pass for 600ms; attempted 7 times

--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerConnection.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerConnection.kt
@@ -48,6 +48,10 @@
     private val pendingCalls = ConcurrentHashMap<Long, CompletableDeferred<PeerReply>>()
     private val nextCallId = AtomicLong(1)
 
+    /** Set by [close]. Frames that were received but not read before are then discarded. */
+    @Volatile
+    private var isClosed = false
+
     /** Identity of the peer; set by [handshake]. */
     lateinit var remote: VmIdentity
         private set
@@ -81,7 +85,11 @@
     suspend fun serve(scope: CoroutineScope) {
         val writer = scope.launch { writeFrames() }
         try {
-            while (true) onFrame(codec.read(input), scope)
+            while (true) {
+                val frame = codec.read(input)
+                if (isClosed) break
+                onFrame(frame, scope)
+            }
         } finally {
             writer.cancel()
             close()
@@ -139,6 +147,7 @@
 
     /** Closes the socket. Pending calls are reported as lost, because the peer may have acted on them. */
     fun close() {
+        isClosed = true
         outgoing.close()
         runCatching { socket.close() }
         pendingCalls.keys.toList().forEach { pendingCalls.remove(it)?.complete(PeerReply.Lost("connection closed")) }
--- a/src/test/kotlin/dandelionpoint/transport/peer/PeerNetworkTest.kt
+++ b/src/test/kotlin/dandelionpoint/transport/peer/PeerNetworkTest.kt
@@ -3,16 +3,20 @@
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.PeerReply
 import dandelionpoint.protocol.peer.VmIdentity
+import io.kotest.assertions.nondeterministic.continually
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
 import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private object NoEvents : PeerEvents {
@@ -21,11 +25,19 @@
     override fun disconnected(vm: VmIdentity) = Unit
 }
 
+/** By then, messages that were sent over loopback have arrived. */
+private const val MESSAGES_ARRIVE_MS = 200L
+
 /** An entry VM with only its peer network. */
 private class Node(val scope: CoroutineScope, val network: PeerNetwork, val vm: VmIdentity)
 
-private suspend fun node(name: String, cluster: String = "test", handler: PeerHandler): Node {
-    val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+private suspend fun node(
+    name: String,
+    cluster: String = "test",
+    dispatcher: CoroutineDispatcher = Dispatchers.IO,
+    handler: PeerHandler,
+): Node {
+    val scope = CoroutineScope(SupervisorJob() + dispatcher)
     val network = PeerNetwork(scope, cluster, handler, NoEvents)
     val port = network.bind("127.0.0.1", 0)
     val vm = VmIdentity(name, "incarnation-$name", "region", "dc", "127.0.0.1", port)
@@ -75,6 +87,31 @@
                 }
             }
         }
+        describe("a connection that is dropped") {
+            // After a pause, such messages are requests that their sender has given up.
+            it("delivers no message that was received before and not handled yet") {
+                lateinit var receiver: Node
+                val handled = AtomicInteger()
+                receiver = node("receiver", dispatcher = Dispatchers.Unconfined) { from, _ ->
+                    if (handled.incrementAndGet() == 1) {
+                        Thread.sleep(MESSAGES_ARRIVE_MS)
+                        receiver.network.drop(from)
+                    }
+                    null
+                }
+                val sender = node("sender") { _, _ -> null }
+                try {
+                    sender.network.connect(PeerAddress(receiver.vm.host, receiver.vm.port))
+                    eventually(5.seconds) { sender.network.connected() shouldBe setOf(receiver.vm) }
+                    repeat(20) { sender.network.send(receiver.vm, PeerMessage.Goodbye) }
+                    eventually(5.seconds) { handled.get() shouldBe 1 }
+                    continually((3 * MESSAGES_ARRIVE_MS).milliseconds) { handled.get() shouldBe 1 }
+                } finally {
+                    sender.stop()
+                    receiver.stop()
+                }
+            }
+        }
         describe("invalid input on the peer port") {
             it("closes that connection and does not affect others") {
                 val server = node("server") { _, _ -> PeerMessage.Goodbye }
