Date no heartbeat into the future after a pause

After a pause its length is added to the time of each peer's last heartbeat. A heartbeat that was read before the tick loop had noticed the pause was dated into the future by the length of the pause. The same happened to all peers at a forward step of the wall clock.

A heartbeat is now never dated after the present.

Failed before the change: PeerLivenessTest.does not delay the loss of a peer whose heartbeat was read before the pause was noticed: Missing elements from index 0

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/PeerLiveness.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/PeerLiveness.kt
@@ -34,8 +34,10 @@
         lost
     }
 
-    /** Records that this VM's process was paused for [pauseMs]. */
-    fun onProcessPause(pauseMs: Long) = synchronized(lock) { peers.values.forEach { it.at += pauseMs } }
+    /** Records that this VM's process was paused for [pauseMs], as counted by the monotonic clock, before [now]. */
+    fun onProcessPause(pauseMs: Long, now: Long) = synchronized(lock) {
+        peers.values.forEach { it.at = minOf(it.at + pauseMs, now) }
+    }
 
     fun live(): List<LivePeer> = synchronized(lock) { peers.map { LivePeer(it.key, it.value.heartbeat) } }
 
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -280,7 +280,7 @@
      */
     private fun onProcessPause(pauseMs: Long) {
         log.warn { "event=stood_still pause_ms=$pauseMs" }
-        liveness.onProcessPause(pauseMs)
+        liveness.onProcessPause(pauseMs, clock.millis())
         if (pauseMs > rules.peerUnresponsiveMs) runner.onProcessPause(pauseMs)
     }
 
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/PeerLivenessTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/PeerLivenessTest.kt
@@ -15,7 +15,7 @@
             it("is not counted as silence of its peers") {
                 val liveness = PeerLiveness(unresponsiveMs = 700)
                 liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 1_000)
-                liveness.onProcessPause(3_000)
+                liveness.onProcessPause(3_000, now = 4_000)
                 liveness.removeLost(now = 4_050).shouldBeEmpty()
             }
 
@@ -23,7 +23,7 @@
             it("does not delay the loss of a peer whose heartbeat was read before the pause was noticed") {
                 val liveness = PeerLiveness(unresponsiveMs = 700)
                 liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 4_000)
-                liveness.onProcessPause(3_000)
+                liveness.onProcessPause(3_000, now = 4_000)
                 liveness.removeLost(now = 4_701) shouldBe listOf(PEER)
             }
         }
