Refuse work that may have been given up during a pause

A VM that was frozen or suspended found submissions, job offers and requests for remote runs in its sockets, counted their time from the moment it read them and carried them out. Their senders had given them up: the client had submitted the job to another VM, the peer had declared this VM lost. Two runs of one task followed. Only the tick loop noticed a pause, so that messages read before it were accepted and messages read after it as well.

PauseDetector observes both clocks, and WorkAdmission asks it before each decision on work, so that a pause is handled before anything that is read after it. After a pause longer than the peers' time-out, offers and requests for remote runs are not accepted for 150 ms, then the peer connections are closed and opened anew. After one longer than the clients' retry delay, less the time in which the job of a disconnected client is ended, submissions are refused with 503 and a retry time. Nothing has been started for any of them. An offer is answered as by a stopping VM. A request for a remote run gets no answer: the run may have started before the pause, and a sender that still waits repeats the request. An offer of a job that was submitted before the end of this period is not accepted later either, since the pause has ended the job.

The monotonic clock does not count a suspension. Only the part of a pause that it has counted is added to the time of the peers' last heartbeats, so that a step of the wall clock changes none. A step back has no effect. A forward step cannot be told from a suspension: it ends the dispatched jobs as before, and now also makes the VM refuse work for 150 ms and reconnect to its peers.

Ruled out: a check in the tick loop alone (a message can be read before it); NOT_STARTED for a remote run (untrue for a repeated request).

--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -7,7 +7,9 @@
 import dandelionpoint.coordination.fleet.Dispatch
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.LivePeer
+import dandelionpoint.coordination.fleet.PauseDetector
 import dandelionpoint.coordination.fleet.PeerLiveness
+import dandelionpoint.coordination.fleet.ProcessPause
 import dandelionpoint.coordination.fleet.RunOrder
 import dandelionpoint.coordination.fleet.Submission
 import dandelionpoint.protocol.Clock
@@ -65,6 +67,7 @@
     private val runner = JobRunner(scope, dispatch, remote, network, Fleet(), clock)
     private val remoteRuns = RemoteRunServer { cells.controller(it) }
     private val claims = CellClaims(ports.store, Claims(), rules, clock)
+    private val admission = WorkAdmission(PauseDetector(clock, TICK_MS), Pauses(), clock, rules)
     private val heartbeats = HeartbeatSender(network, liveness, clock) { heartbeat() }
     private lateinit var self: VmIdentity
     private val forwarder = JobForwarder({ self }, runner, network, { liveness.isLive(it) }, { dispatchingVm() }, clock)
@@ -125,7 +128,10 @@
 
     override fun route(host: String, path: String): QueueRoute? = tables.configuration?.route(host, path)
 
-    override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long): JobOutcome = forwarder.run(job, queue, waitMs)
+    override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long): JobOutcome {
+        val refusal = admission.refuseClient()
+        return if (refusal != null && !forwarder.has(job.id)) refusal else forwarder.run(job, queue, waitMs)
+    }
 
     override fun cancel(jobId: String): Boolean = forwarder.cancel(jobId)
 
@@ -212,22 +218,33 @@
     // Messages from peers
 
     private suspend fun handle(from: VmIdentity, message: PeerMessage): PeerMessage? {
+        admission.check()
         when (message) {
             is FleetHeartbeat -> onHeartbeat(from, message)
+
             is JobOffer -> return dispatchFor(from, message)
+
             is JobCancel -> runner.cancel(message.jobId)
-            is RemoteRunRequest -> return remoteRuns.run(from, message)
+
+            // Without an answer, the sender repeats the request if it still waits. The run may have started before the pause.
+            is RemoteRunRequest -> return if (admission.acceptsPeers()) remoteRuns.run(from, message) else null
+
             is RunCancel -> cells.stopRun(message.run, from.incarnation)
+
             is CellHandover -> claims.handover(message.cell, from)
+
             is WorkersReleased -> onWorkersReleased(message)
+
             is PeerMessage.ConfigPull -> return tables.configuration?.let { PeerMessage.ConfigChanges(it.version, it.document) }
+
             else -> log.warn { "event=unexpected_message peer=${from.name} type=${message::class.simpleName}" }
         }
         return null
     }
 
     private suspend fun dispatchFor(from: VmIdentity, offer: JobOffer): JobAnswer {
-        if (isStopping && !dispatch.has(offer.job.id)) return JobAnswer()
+        val isAccepting = admission.acceptsOffer(offer.ageMs) && !isStopping
+        if (!isAccepting && !dispatch.has(offer.job.id)) return JobAnswer()
         val now = clock.millis()
         val submission = Submission(offer.job, offer.queue, from.incarnation, now - offer.ageMs, now + offer.remainingMs)
         return JobAnswer(runner.run(submission))
@@ -258,30 +275,25 @@
     }
 
     private suspend fun tickLoop() {
-        var last = clock.millis()
-        var lastWallMs = clock.wallMs()
         while (scope.isActive) {
-            delay(TICK_MS)
-            val now = clock.millis()
-            val wallMs = clock.wallMs()
-            val pauseMs = maxOf(now - last, wallMs - lastWallMs) - TICK_MS
-            if (pauseMs > PAUSE_THRESHOLD_MS) onProcessPause(pauseMs)
-            last = now
-            lastWallMs = wallMs
-            liveness.removeLost(now).forEach { peerLost(it) }
+            admission.tick()
+            liveness.removeLost(clock.millis()).forEach { peerLost(it) }
             cells.tick()
             runner.tick()
+            delay(TICK_MS)
         }
     }
 
-    /**
-     * The process did not run for [pauseMs]. Peers are not regarded as unresponsive because of it. After a pause longer than
-     * `peerUnresponsiveMs` the peers have declared this VM lost, so it ends its jobs.
-     */
-    private fun onProcessPause(pauseMs: Long) {
-        log.warn { "event=stood_still pause_ms=$pauseMs" }
-        liveness.onProcessPause(pauseMs, clock.millis())
-        if (pauseMs > rules.peerUnresponsiveMs) runner.onProcessPause(pauseMs)
+    private inner class Pauses : PauseListener {
+        /** Peers are not regarded as unresponsive because of the pause. If they may have declared this VM lost, it ends its jobs. */
+        override fun paused(pause: ProcessPause, isLost: Boolean) {
+            log.warn { "event=stood_still pause_ms=${pause.maxMs}" }
+            liveness.onProcessPause(pause.monotonicMs, clock.millis())
+            if (!isLost) return
+            runner.onProcessPause(pause.maxMs)
+        }
+
+        override fun recovered() = network.dropAll()
     }
 
     private fun peerLost(vm: VmIdentity) {
@@ -314,9 +326,6 @@
         const val CLUSTER = "fleet"
         const val CLAIM_STEP_MS = 150L
         const val TICK_MS = 40L
-
-        /** A tick that is late by more than this counts as a pause of the process, in ms. */
-        const val PAUSE_THRESHOLD_MS = 250L
         const val PULL_TIMEOUT_MS = 1_000L
 
         /** Number of workers of a cell to which a connection is tried, to find out if the cell can be reached. */
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -180,6 +180,9 @@
         inboundConnections.filter { it.remote == vm }.forEach { it.close() }
     }
 
+    /** Closes all connections, as [drop] does for one peer. They are opened again. */
+    fun dropAll() = (connections.values + inboundConnections).forEach { it.close() }
+
     /** Peers with an open outbound connection. */
     fun connected(): Set<VmIdentity> = connections.keys.toSet()
 
--- a/src/test/kotlin/dandelionpoint/fleet/FleetVmPauseTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/FleetVmPauseTest.kt
@@ -72,18 +72,26 @@
         awaitCapacity()
     }
 
-    /** Waits until the workers accept runs. */
+    /** Waits until the workers accept runs. Repeated because a real pause of this process makes the VM refuse the job. */
     private suspend fun awaitCapacity() {
-        val ends = List(WARM_UP_JOBS) { scope.async { vm.run(job(WARM_UP_ID + it), fleet.queue, DEADLINE_MS) } }
-        eventually(5.seconds) { fleet.workers.starts() shouldHaveSize WARM_UP_JOBS }
-        repeat(WARM_UP_JOBS) { vm.cancel(job(WARM_UP_ID + it).id) }
-        ends.forEach { it.await() }
+        var number = WARM_UP_ID
+        eventually(10.seconds) {
+            val warmUp = ++number
+            val end = scope.async { vm.run(job(warmUp), fleet.queue, DEADLINE_MS) }
+            eventually(1.seconds) { starts(warmUp) shouldHaveSize 1 }
+            vm.cancel(job(warmUp).id)
+            end.await()
+        }
         eventually(5.seconds) { fleet.workers.starts().all { it.endedAt != null }.shouldBeTrue() }
     }
 
     fun job(number: Int) = FleetJob("%016x".format(number), "payload", listOf(JobStep(1, Demand(1_000), LONG_RUN_MS)))
 
-    fun call(message: PeerMessage): Deferred<PeerReply> = scope.async { peer.call(identity, message, DEADLINE_MS) }
+    /** Calls the VM, over the present connection or the next one. */
+    fun call(message: PeerMessage): Deferred<PeerReply> = scope.async {
+        eventually(2.seconds) { peer.connected() shouldContain identity }
+        peer.call(identity, message, DEADLINE_MS)
+    }
 
     fun offer(number: Int) = JobOffer(job(number), fleet.queue, ageMs = 0, remainingMs = DEADLINE_MS)
 
@@ -99,8 +107,8 @@
     }
 
     private companion object {
+        /** Number of the first job that is run to find out if the workers accept runs. */
         const val WARM_UP_ID = 1_000
-        const val WARM_UP_JOBS = 1
     }
 }
 
--- /dev/null
+++ b/src/test/kotlin/dandelionpoint/fleet/WorkAdmissionTest.kt
@@ -0,0 +1,75 @@
+package dandelionpoint.fleet
+
+import dandelionpoint.coordination.fleet.FleetRules
+import dandelionpoint.coordination.fleet.PauseDetector
+import dandelionpoint.coordination.fleet.ProcessPause
+import dandelionpoint.coordination.fleet.VirtualClock
+import dandelionpoint.protocol.fleet.JobOutcome
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+
+private const val TICK_MS = 40L
+
+/** Records what the VM is told to do. */
+private class RecordingListener : PauseListener {
+    val lost = mutableListOf<Boolean>()
+    var recoveries = 0
+
+    override fun paused(pause: ProcessPause, isLost: Boolean) {
+        lost += isLost
+    }
+
+    override fun recovered() {
+        recoveries++
+    }
+}
+
+/** A VM whose process runs until [pause] is called. */
+private class PausedVm {
+    val clock = VirtualClock()
+    val listener = RecordingListener()
+    val admission = WorkAdmission(PauseDetector(clock, TICK_MS), listener, clock, FleetRules()).apply { tick() }
+
+    fun pause(ms: Long) = clock.advance(ms)
+
+    /** The process runs for [ms]. */
+    fun run(ms: Long) = repeat((ms / TICK_MS).toInt()) {
+        clock.advance(TICK_MS)
+        admission.tick()
+    }
+}
+
+/** Guards against work that is started although its sender has given it up, and against work that is refused for longer than needed. */
+internal class WorkAdmissionTest :
+    DescribeSpec({
+        describe("after a pause in which clients and peers may have given up their requests") {
+            it("work is refused at once, before the tick loop has seen the pause") {
+                val vm = PausedVm().apply { pause(2_000) }
+                vm.admission.refuseClient().shouldBeInstanceOf<JobOutcome.NotRun>()
+                vm.admission.acceptsPeers() shouldBe false
+                vm.admission.acceptsOffer(ageMs = 0) shouldBe false
+                vm.listener.lost shouldBe listOf(true)
+            }
+
+            it("work is refused until the connections to the peers have been closed, and accepted afterwards") {
+                val vm = PausedVm().apply { pause(2_000) }
+                vm.run(WorkAdmission.RECOVERY_MS)
+                vm.admission.acceptsPeers() shouldBe false
+                vm.listener.recoveries shouldBe 0
+                vm.run(2 * TICK_MS)
+                vm.listener.recoveries shouldBe 1
+                vm.admission.refuseClient().shouldBeNull()
+                vm.admission.acceptsPeers() shouldBe true
+                vm.admission.acceptsOffer(ageMs = 0) shouldBe true
+            }
+
+            // The pause has ended the job. An offer that is repeated then would start it again beside what its client submits.
+            it("a job that was submitted before the end of the recovery period is not accepted later") {
+                val vm = PausedVm().apply { pause(2_000) }
+                vm.run(WorkAdmission.RECOVERY_MS + 4 * TICK_MS)
+                vm.admission.acceptsOffer(ageMs = 1_000) shouldBe false
+            }
+        }
+    })
