--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -173,6 +173,8 @@
         inboundConnections.filter { it.remote == vm }.forEach { it.close() }
     }
 
+    override fun dropAll() = (connections.values + inboundConnections).forEach { it.close() }
+
     override fun connected(): Set<VmIdentity> = connections.keys.toSet()
 
     override fun close() {
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerTransport.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerTransport.kt
@@ -28,6 +28,9 @@
     /** Closes the connections with [vm] in both directions, so that no message that was sent over them arrives later. */
     fun drop(vm: VmIdentity)
 
+    /** Closes all connections, as [drop] does for one peer. They are opened again. */
+    fun dropAll()
+
     /** Closes the port and all connections. */
     fun close()
 }
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
@@ -121,6 +121,11 @@
         inbound.filter { it.client.self == vm }.forEach { it.close(ConnectionEnd.SERVER) }
     }
 
+    override fun dropAll() {
+        outbound.values.toList().forEach { it.close(ConnectionEnd.CLIENT) }
+        inbound.toList().forEach { it.close(ConnectionEnd.SERVER) }
+    }
+
     override fun close() {
         reconnectors.values.forEach { it.cancel() }
         network.kill(this, isMachineLost = false)
