Show messages and stops in reports of overlapping runs

A report of OneRunPerTaskTest showed both runs but not why the earlier one was still in progress. It now also has the job's offers, requests for remote runs, cancellations and stops, each when sent and when read, and the faults that began in the last 6 s, since a fault may last 3 s.

--- a/src/test/kotlin/dandelionpoint/fleet/simulation/FleetSimulation.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/FleetSimulation.kt
@@ -107,9 +107,8 @@
         )
     }
 
-    private fun SimulatedRun.describe() =
-        "run ${order.run.run} of ${order.run.task.step}.${order.run.task.index} on $workerId at $startedAt" +
-            " (token ${order.token}, ordered by $caller, dispatched by $origin, ${order.payload})"
+    private fun SimulatedRun.describe() = "${order.run.describe()} on $workerId at $startedAt" +
+        " (token ${order.token}, ordered by $caller, dispatched by $origin, ${order.payload})"
 
     private companion object {
         const val POOL = "pool"
@@ -129,7 +128,7 @@
         const val TRAFFIC_UNTIL_MS = 12_000L
         const val END_MS = 15_000L
 
-        /** Faults this long before a violation are part of its description, in ms. */
-        const val FAULTS_SHOWN_MS = 3_000L
+        /** Faults that began this long before a violation are part of its description, in ms; they last up to half as long. */
+        const val FAULTS_SHOWN_MS = 6_000L
     }
 }
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedCalls.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedCalls.kt
@@ -81,7 +81,9 @@
     }
 
     override suspend fun stop(worker: WorkerEntry, run: TaskRun, token: Long, timeoutMs: Long): Boolean {
-        if (faults.losesStop()) {
+        val isLost = faults.losesStop()
+        world.record(run.task.jobId, "stop of ${run.describe()} sent by $vm to ${worker.id}${if (isLost) ", lost" else ""}")
+        if (isLost) {
             delay(timeoutMs)
             return false
         }
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
@@ -1,9 +1,12 @@
 /* The peer connections of one process of a simulated VM, with the semantics of `PeerNetwork`. */
 package dandelionpoint.fleet.simulation
 
+import dandelionpoint.protocol.peer.JobCancel
+import dandelionpoint.protocol.peer.JobOffer
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.PeerReply
 import dandelionpoint.protocol.peer.RemoteRunRequest
+import dandelionpoint.protocol.peer.RunCancel
 import dandelionpoint.protocol.peer.VmIdentity
 import dandelionpoint.transport.peer.PeerAddress
 import dandelionpoint.transport.peer.PeerHandler
@@ -96,11 +99,8 @@
         val connection = outbound[to] ?: return PeerReply.NotSent("no connection to ${to.name}")
         if (message is RemoteRunRequest) network.onRemoteRun(self, to, message)
         val call = connection.openCall()
-        connection.transmit(ConnectionEnd.CLIENT) {
-            connection.server.launch {
-                val reply = connection.server.handler(self, message)
-                if (reply != null) connection.transmit(ConnectionEnd.SERVER) { call.complete(PeerReply.Answered(reply)) }
-            }
+        deliver(connection, message) { reply ->
+            if (reply != null) connection.transmit(ConnectionEnd.SERVER) { call.complete(PeerReply.Answered(reply)) }
         }
         val reply = withTimeoutOrNull(timeoutMs) { call.await() }
         connection.endCall(call)
@@ -109,7 +109,28 @@
 
     override fun send(to: VmIdentity, message: PeerMessage) {
         val connection = outbound[to] ?: return
-        connection.transmit(ConnectionEnd.CLIENT) { connection.server.launch { connection.server.handler(self, message) } }
+        deliver(connection, message) { }
+    }
+
+    private fun deliver(connection: SimulatedConnection, message: PeerMessage, onReply: (PeerMessage?) -> Unit) {
+        val receiver = connection.server
+        record(message, "sent by $name to ${receiver.name}")
+        connection.transmit(ConnectionEnd.CLIENT) {
+            receiver.launch {
+                record(message, "read by ${receiver.name}")
+                onReply(receiver.handler(self, message))
+            }
+        }
+    }
+
+    private fun record(message: PeerMessage, what: String) {
+        when (message) {
+            is JobOffer -> world.record(message.job.id, "JobOffer (${message.job.payload}) $what")
+            is JobCancel -> world.record(message.jobId, "JobCancel $what")
+            is RemoteRunRequest -> world.record(message.run.task.jobId, "RemoteRunRequest ${message.run.describe()} $what")
+            is RunCancel -> world.record(message.run.task.jobId, "RunCancel ${message.run.describe()} $what")
+            else -> Unit
+        }
     }
 
     override fun send(receivers: Collection<VmIdentity>, message: PeerMessage) = receivers.forEach { send(it, message) }
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulationWorld.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulationWorld.kt
@@ -2,6 +2,7 @@
 package dandelionpoint.fleet.simulation
 
 import dandelionpoint.protocol.SchedulerClock
+import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.millis
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
@@ -16,6 +17,9 @@
 /** One event, at a time in virtual ms. [jobId] is null for a fault. */
 internal data class SimulationEvent(val at: Long, val jobId: String?, val text: String)
 
+/** Number and task of a run, without its job. */
+internal fun TaskRun.describe(): String = "run $run of ${task.step}.${task.index}"
+
 /** A simulation's time and random numbers. All of its coroutines run on one thread, so that a seed always gives the same events. */
 @OptIn(ExperimentalCoroutinesApi::class)
 internal class SimulationWorld(seed: Long) {
