Discard messages of a dropped connection that wait for their handler

It also discarded the last messages of a peer that closes its connection normally. The handler's coroutine makes the check now, and only PeerNetwork.drop and dropAll set the flag.

--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerConnection.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerConnection.kt
@@ -48,9 +48,9 @@
     private val pendingCalls = ConcurrentHashMap<Long, CompletableDeferred<PeerReply>>()
     private val nextCallId = AtomicLong(1)
 
-    /** Set by [close]. Frames that were received but not read before are then discarded. */
+    /** Set by [drop]. */
     @Volatile
-    private var isClosed = false
+    private var isDropped = false
 
     /** Identity of the peer; set by [handshake]. */
     lateinit var remote: VmIdentity
@@ -85,11 +85,7 @@
     suspend fun serve(scope: CoroutineScope) {
         val writer = scope.launch { writeFrames() }
         try {
-            while (true) {
-                val frame = codec.read(input)
-                if (isClosed) break
-                onFrame(frame, scope)
-            }
+            while (true) onFrame(codec.read(input), scope)
         } finally {
             writer.cancel()
             close()
@@ -110,6 +106,7 @@
             return
         }
         scope.launch {
+            if (isDropped) return@launch
             val reply = runCatching { handler(remote, frame.message) }
             reply.exceptionOrNull()?.takeIf {
                 it !is CancellationException
@@ -145,9 +142,14 @@
         return answer ?: PeerReply.Lost("no reply from ${remote.name} within $timeoutMs ms")
     }
 
+    /** Closes the connection and discards the messages that were received before and whose handling has not begun. */
+    fun drop() {
+        isDropped = true
+        close()
+    }
+
     /** Closes the socket. Pending calls are reported as lost, because the peer may have acted on them. */
     fun close() {
-        isClosed = true
         outgoing.close()
         runCatching { socket.close() }
         pendingCalls.keys.toList().forEach { pendingCalls.remove(it)?.complete(PeerReply.Lost("connection closed")) }
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -176,12 +176,12 @@
 
     /** Closes the connections with [vm] in both directions, so that no message that was sent over them arrives later. */
     fun drop(vm: VmIdentity) {
-        connections[vm]?.close()
-        inboundConnections.filter { it.remote == vm }.forEach { it.close() }
+        connections[vm]?.drop()
+        inboundConnections.filter { it.remote == vm }.forEach { it.drop() }
     }
 
     /** Closes all connections, as [drop] does for one peer. They are opened again. */
-    fun dropAll() = (connections.values + inboundConnections).forEach { it.close() }
+    fun dropAll() = (connections.values + inboundConnections).forEach { it.drop() }
 
     /** Peers with an open outbound connection. */
     fun connected(): Set<VmIdentity> = connections.keys.toSet()
