End the jobs of peers after a pause in which they may have lost this VM

Peers declare a VM lost 0.7 s after the last heartbeat that they received. It was sent up to one interval before the pause, while the VM counted 0.7 s from the beginning of the pause. After a pause of 0.55 to 0.7 s the peers had ended the jobs and answered 504, or started the tasks of remote runs elsewhere, and the VM went on with them. It also went on with the remote runs that it served after longer pauses, as long as their lease had not expired.

The bound is now the peers' time-out less the longest interval between two heartbeats, 530 ms, compared with the longest time that the pause can have taken. Beyond it, the VM also stops the remote runs that it serves in the cells that it owns, unless the pause has outlasted their leases. A forward step of the wall clock by 2 to 3 s, which looks like a suspension, therefore does not end them.

--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -291,8 +291,12 @@
             liveness.onProcessPause(pause.monotonicMs, clock.millis())
             if (!isLost) return
             runner.onProcessPause(pause.maxMs)
+            // A longer pause has outlasted their leases, and after a step of the wall clock, which looks like one, they are still wanted.
+            if (pause.maxMs - TICK_MS <= rules.longestLeaseMs) stopRemoteRuns()
         }
 
+        private fun stopRemoteRuns() = cells.owned().forEach { cell -> cell.stopRuns { it.origin != incarnation } }
+
         override fun recovered() = network.dropAll()
     }
 
--- a/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
@@ -42,11 +42,14 @@
         }
     }
 
-    private companion object {
+    companion object {
         /** Interval of the heartbeats to all peers, in ms. */
-        const val BROADCAST_INTERVAL_MS = 150L
+        private const val BROADCAST_INTERVAL_MS = 150L
 
         /** Shortest time between two heartbeats, in ms. */
-        const val MIN_INTERVAL_MS = 20L
+        private const val MIN_INTERVAL_MS = 20L
+
+        /** Longest time between two heartbeats to the same peer, in ms: one that is due waits for the shortest time after another. */
+        const val MAX_INTERVAL_MS = BROADCAST_INTERVAL_MS + MIN_INTERVAL_MS
     }
 }
--- a/src/main/kotlin/dandelionpoint/fleet/WorkAdmission.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/WorkAdmission.kt
@@ -32,7 +32,8 @@
     private val clock: Clock,
     rules: FleetRules,
 ) {
-    private val peerLimitMs = rules.peerUnresponsiveMs
+    /** Peers count from the last heartbeat that they received, which this VM sent up to one interval before the pause. */
+    private val peerLimitMs = rules.peerUnresponsiveMs - HeartbeatSender.MAX_INTERVAL_MS
     private var recoveryEndsAt: Long? = null
     private var refusesClients = false
     private var acceptsSince = Long.MIN_VALUE
--- a/src/test/kotlin/dandelionpoint/fleet/FleetVmPauseTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/FleetVmPauseTest.kt
@@ -4,12 +4,14 @@
 import dandelionpoint.protocol.fleet.FleetJob
 import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.fleet.JobStep
+import dandelionpoint.protocol.fleet.RunEnd
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.peer.JobOffer
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.PeerReply
 import dandelionpoint.protocol.peer.RemoteRunRequest
+import dandelionpoint.protocol.peer.RunAnswer
 import dandelionpoint.protocol.peer.VmIdentity
 import dandelionpoint.standin.fleet.InProcessFleet
 import dandelionpoint.standin.fleet.MemoryWorkers
@@ -185,6 +187,19 @@
             }
         }
 
+        describe("a wall clock that is set forward") {
+            it("does not end the remote runs that peers have requested, unlike a pause that was too short for their lease to expire") {
+                onPausableVm(runMs = 400) {
+                    val open = call(remoteRun(1))
+                    eventually(2.seconds) { starts(1) shouldHaveSize 1 }
+                    clock.suspendFor(3_000)
+                    open.await().shouldBeInstanceOf<PeerReply.Lost>()
+                    eventually(3.seconds) { call(remoteRun(1)).await() shouldBe PeerReply.Answered(RunAnswer(RunEnd.DONE)) }
+                    starts(1) shouldHaveSize 1
+                }
+            }
+        }
+
         describe("a wall clock that is set back") {
             it("neither ends jobs nor makes the VM refuse work") {
                 onPausableVm(runMs = 400) {
--- a/src/test/kotlin/dandelionpoint/fleet/WorkAdmissionTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/WorkAdmissionTest.kt
@@ -72,4 +72,19 @@
                 vm.admission.acceptsOffer(ageMs = 1_000) shouldBe false
             }
         }
+
+        describe("a pause after which the peers may have declared the VM lost") {
+            it("makes the VM end its jobs and refuse those of peers, but not those of clients, which wait longer") {
+                val vm = PausedVm().apply { pause(540) }
+                vm.admission.acceptsPeers() shouldBe false
+                vm.admission.refuseClient().shouldBeNull()
+                vm.listener.lost shouldBe listOf(true)
+            }
+
+            it("is not assumed if the peers have received a heartbeat in time") {
+                val vm = PausedVm().apply { pause(520) }
+                vm.admission.acceptsPeers() shouldBe true
+                vm.listener.lost shouldBe listOf(false)
+            }
+        }
     })
