--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -169,11 +169,11 @@
     }
 
     override fun drop(vm: VmIdentity) {
-        connections[vm]?.close()
-        inboundConnections.filter { it.remote == vm }.forEach { it.close() }
+        connections[vm]?.drop()
+        inboundConnections.filter { it.remote == vm }.forEach { it.drop() }
     }
 
-    override fun dropAll() = (connections.values + inboundConnections).forEach { it.close() }
+    override fun dropAll() = (connections.values + inboundConnections).forEach { it.drop() }
 
     override fun connected(): Set<VmIdentity> = connections.keys.toSet()
 
