Refuse JSON documents that are nested too deeply

Callers saw: nothing yet; other operators report that one very deeply nested entry among the workers' entries made their machines stop following the list. Here the coroutine that follows the list ended with a StackOverflowError, for good, and the list stayed as it was. The process goes on (the error is no OutOfMemoryError), so that its workers, routes and configuration grow old. A client's body had the status 500 in place of 400.

Cause: the JSON parser recurses once per array (and per object in an array); StackOverflowError is an Error, which neither the decoder nor the coroutine catches. With the JVM options of the deployment (-Xss256k) 500 levels of arrays are enough in a trial, and the process goes on without that thread's work.

Ruled out: objects alone (the parser switches to the heap at 200 levels); CBOR frames (no message type is recursive; see the test of changed frames).

Change: a document is scanned for its nesting before it is parsed, in the one parser of the platform's documents; more than 64 levels count as unreadable. Bytes that are not UTF-8 count as unreadable too: they were replaced before.

--- a/src/main/kotlin/dandelionpoint/platform/PlatformJson.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformJson.kt
@@ -1,6 +1,7 @@
 /* Lenient access to the platform's JSON bodies: a member that is missing or of another type reads as null. */
 package dandelionpoint.platform
 
+import dandelionpoint.protocol.isNestedTooDeeply
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
@@ -15,9 +16,12 @@
 
 internal val JSON_TYPE = "application/json".toMediaType()
 
-/** Parses [bytes] as a JSON object; null if they are not one. */
+/** Parses [bytes] as a JSON object; null if they are not one, are not valid UTF-8 or are nested too deeply. */
 internal fun parseObject(bytes: ByteArray): JsonObject? = try {
-    Json.parseToJsonElement(bytes.decodeToString()) as? JsonObject
+    val text = bytes.decodeToString(throwOnInvalidSequence = true)
+    if (isNestedTooDeeply(text)) null else Json.parseToJsonElement(text) as? JsonObject
+} catch (_: CharacterCodingException) {
+    null
 } catch (_: SerializationException) {
     null
 } catch (_: IllegalArgumentException) {
--- a/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
@@ -45,15 +45,16 @@
     override fun waitingJobs(queue: String) = 12
 }
 
+/** The body of a job with one task. */
+private val JOB = encodeJob(FleetJob(ID, "", listOf(JobStep(1, Demand(1))))).decodeToString()
+
 private class Client(port: Int) : AutoCloseable {
     private val socket = Socket(LOOPBACK, port).apply { soTimeout = 5_000 }
 
-    fun post(body: String = encodeJob(FleetJob(ID, "", listOf(JobStep(1, Demand(1))))).decodeToString()) = send("POST", "/q/$ID", body)
-
-    private fun encodeJob(job: FleetJob) = dandelionpoint.platform.encodeJob(job)
+    fun post(body: String = JOB, deadlineMs: String = "1500") = send("POST", "/q/$ID", body, deadlineMs)
 
-    fun send(method: String, path: String, body: String = "") {
-        val head = "$method $path HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\nDeadline-Remaining-Ms: 1500\r\n\r\n"
+    fun send(method: String, path: String, body: String = "", deadlineMs: String = "1500") {
+        val head = "$method $path HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\nDeadline-Remaining-Ms: $deadlineMs\r\n\r\n"
         socket.getOutputStream().apply { write((head + body).encodeToByteArray()) }.flush()
     }
 
@@ -138,6 +139,16 @@
                 }
             }
 
+            // Guards against a StackOverflowError that a body causes in the thread of the request.
+            it("that sends a body which is nested too deeply gets status 400") {
+                withServer(ScriptedService()) { _, port ->
+                    Client(port).use { client ->
+                        client.post("[".repeat(100_000))
+                        client.read() shouldStartWith "HTTP/1.1 400"
+                    }
+                }
+            }
+
             it("that sends a malformed body, an unknown path or an unknown job gets the matching status") {
                 withServer(ScriptedService()) { _, port ->
                     Client(port).use { client ->
