Limit the wait that a client's header asks for

Callers would see: a job with Deadline-Remaining-Ms near the largest Long is refused with 503 'the client's deadline has passed'. Cause: arrival time plus wait overflows to a time in the past. Change: the wait is limited to 0 to 10 min.

Failed before: PlatformClientsTest, "that waits for a time out of range gets the longest or no wait": expected:<600000L> but was:<9223372036854775807L>

--- a/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
@@ -112,7 +112,7 @@
     }
 
     private fun run(context: Context, route: QueueRoute, body: SubmittedBody.BestEffort) {
-        val waitMs = context.header("Deadline-Remaining-Ms")?.toLongOrNull() ?: DEFAULT_WAIT_MS
+        val waitMs = (context.header("Deadline-Remaining-Ms")?.toLongOrNull() ?: DEFAULT_WAIT_MS).coerceIn(0, MAX_WAIT_MS)
         val entry = watch.watch(context.req()) { service.cancel(body.job.id) }
         context.future {
             scope.future {
@@ -180,6 +180,9 @@
 
         /** Wait for a job whose client has sent no `Deadline-Remaining-Ms`, in ms. */
         const val DEFAULT_WAIT_MS = 10_000L
+
+        /** Longest wait for a job, in ms; a longer one would overflow the job's deadline. */
+        const val MAX_WAIT_MS = 600_000L
         const val MS_PER_S = 1_000L
         const val NANOS_PER_MS = 1_000_000L
         const val FINISH_POLL_MS = 10L
--- a/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
@@ -26,6 +26,9 @@
 /** A service with one queue, below /q/ on host h. Each job ends with the value that [outcome] is completed with. */
 private class ScriptedService(val outcome: CompletableDeferred<JobOutcome> = CompletableDeferred()) : FleetJobService {
     var cancelled = 0
+
+    @Volatile
+    var lastWaitMs = -1L
     override val isReady = true
     override val isStopping = false
     override val hasConfiguration = true
@@ -33,7 +36,10 @@
     override fun route(host: String, path: String) =
         if (host == "h" && path.startsWith("/q/")) QueueRoute("h", "/q/", JobQueue("q", "p")) else null
 
-    override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long): JobOutcome = outcome.await()
+    override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long): JobOutcome {
+        lastWaitMs = waitMs
+        return outcome.await()
+    }
 
     override fun cancel(jobId: String): Boolean {
         cancelled++
@@ -139,6 +145,21 @@
                 }
             }
 
+            // Guards against a deadline that overflows to a time in the past, so that the job is refused.
+            it("that waits for a time out of range gets the longest or no wait") {
+                val service = ScriptedService(CompletableDeferred(JobOutcome.Completed))
+                withServer(service) { _, port ->
+                    val waits = mapOf("9223372036854775807" to 600_000L, "-9223372036854775808" to 0L, "99999999999999999999" to 10_000L)
+                    waits.forEach { (header, expected) ->
+                        Client(port).use { client ->
+                            client.post(deadlineMs = header)
+                            client.read() shouldStartWith "HTTP/1.1 200"
+                            service.lastWaitMs shouldBe expected
+                        }
+                    }
+                }
+            }
+
             // Guards against a StackOverflowError that a body causes in the thread of the request.
             it("that sends a body which is nested too deeply gets status 400") {
                 withServer(ScriptedService()) { _, port ->
