Refuse submissions with numbers out of range

Callers would see: a job with a negative cpu, mem_mb or gpu was placed on any worker and counted as additional free capacity of it, so that later jobs were started on a full worker; est_runtime_ms near the largest Long made the sums of waiting work negative; max_per_server below 0 fitted on no worker. A body of 180 KB with 12,000 steps of 1,200 tasks was accepted as a job of 14.4 million tasks, for each of which the dispatching VM allocates an object. In a trial with the JVM options of the deployment (-Xmx96m) the process ended: "Terminating due to java.lang.OutOfMemoryError: Java heap space", status 3. Cause: the members of a step were read without a range, a number that does not fit was read as 0 or as the largest Long, and only a step's tasks were limited. Change: a step with a member of another type or out of range is malformed (400), and so is a job with more than 12,000 tasks. A number is read as a whole one only where that is exact.

Failed before: OddDocumentsTest, "with a number out of range in a step is malformed" ("count":1,"cpu":-1), "with more tasks in all steps than a VM has memory for is malformed", "that is accepted has an amount of work that can be added up, whatever the body was"

--- a/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
@@ -4,6 +4,7 @@
  */
 package dandelionpoint.platform
 
+import arrow.core.raise.nullable
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.fleet.FleetConfiguration
 import dandelionpoint.protocol.fleet.FleetJob
@@ -25,6 +26,16 @@
 /** Occurrence number of a job that is not repeated; it is the second part of the platform's task names. */
 private const val SINGLE_OCCURRENCE = 0
 
+/** Largest CPU of a worker or task, in thousandths of a core. */
+private const val MAX_CPU_MILLI = 4_096_000
+
+/** Largest memory of a worker or task, in MB. */
+private const val MAX_MEMORY_MB = 67_108_864
+private const val MAX_ACCELERATORS = 1_024
+
+/** Longest estimate of a task and longest latency target, in ms; with [MAX_JOB_TASKS] and [MAX_CPU_MILLI] a job's work fits a Long. */
+private const val MAX_DURATION_MS = 86_400_000L
+
 /** Decodes a worker's registration under its [id]; null if it is incomplete or its state is neither ready nor draining. */
 internal fun decodeWorker(id: String, bytes: ByteArray): WorkerEntry? {
     val body = parseObject(bytes) ?: return null
@@ -53,7 +64,12 @@
     return address.substringBeforeLast(':').takeIf { it.isNotEmpty() }?.let { it to port }
 }
 
-private fun decodeDemand(body: JsonObject) = Demand(body.int("cpu") ?: 0, body.int("mem_mb") ?: 0, body.int("gpu") ?: 0)
+/** The resources in [body]; null if a member is not a number in its range. A missing member is 0. */
+private fun decodeDemand(body: JsonObject): Demand? = Demand(
+    cpuMilli = body.intUpTo(MAX_CPU_MILLI, "cpu") ?: return null,
+    memoryMb = body.intUpTo(MAX_MEMORY_MB, "mem_mb") ?: return null,
+    accelerators = body.intUpTo(MAX_ACCELERATORS, "gpu") ?: return null,
+)
 
 /** Decodes the operator's configuration; null if it is not a JSON object with a version. Routes that are incomplete are left out. */
 internal fun decodeConfiguration(bytes: ByteArray): FleetConfiguration? {
@@ -96,6 +112,8 @@
     return when {
         steps.isEmpty() -> SubmittedBody.Malformed("the job has no step")
 
+        steps.sumOf { it.count } > MAX_JOB_TASKS -> SubmittedBody.Malformed("the job has more than $MAX_JOB_TASKS tasks")
+
         steps.withIndex().any { (index, step) -> step.after.any { it !in 0 until index } } ->
             SubmittedBody.Malformed("a step waits for itself or a later one")
 
@@ -109,16 +127,16 @@
     }
 }
 
-private fun decodeStep(body: JsonObject?): JobStep? {
-    if (body == null) return null
-    return JobStep(
-        count = body.int("count")?.takeIf { it in 1..MAX_TASKS } ?: return null,
-        demand = decodeDemand(body),
-        estimateMs = body.long("est_runtime_ms") ?: 0L,
-        after = body.array("after").map { (it as? JsonPrimitive)?.intOrNull ?: return null },
-        requiredLabel = body.text("required_label")?.takeIf { it.isNotEmpty() },
-        rack = body.text("affinity")?.takeIf { it.isNotEmpty() },
-        maxPerWorker = body.int("max_per_server") ?: 0,
+private fun decodeStep(body: JsonObject?): JobStep? = nullable {
+    val members = body.bind()
+    JobStep(
+        count = members.int("count")?.takeIf { it in 1..MAX_TASKS }.bind(),
+        demand = decodeDemand(members).bind(),
+        estimateMs = members.longUpTo(MAX_DURATION_MS, "est_runtime_ms").bind(),
+        after = members.array("after").map { (it as? JsonPrimitive)?.intOrNull.bind() },
+        requiredLabel = members.text("required_label")?.takeIf { it.isNotEmpty() },
+        rack = members.text("affinity")?.takeIf { it.isNotEmpty() },
+        maxPerWorker = members.intUpTo(Int.MAX_VALUE, "max_per_server").bind(),
     )
 }
 
@@ -144,6 +162,9 @@
 /** Largest number of tasks of one step. */
 private const val MAX_TASKS = 1_200
 
+/** Largest number of tasks of one job: each takes memory while the job is in progress. */
+private const val MAX_JOB_TASKS = 12_000
+
 /** The platform's name of a task. */
 internal fun TaskRef.wireName(): String = "$jobId.$SINGLE_OCCURRENCE.$step.$index"
 
--- a/src/test/kotlin/dandelionpoint/platform/OddDocumentsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/OddDocumentsTest.kt
@@ -1,7 +1,11 @@
 package dandelionpoint.platform
 
+import dandelionpoint.protocol.fleet.JobStep
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeInRange
 import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.types.shouldBeInstanceOf
 import io.kotest.property.Arb
 import io.kotest.property.PropTestConfig
 import io.kotest.property.arbitrary.byte
@@ -21,6 +25,9 @@
     "object" to (VALID_RUN_LIST to { bytes -> parseObject(bytes) }),
 )
 
+/** The body of a job whose only step has [members]. */
+private fun jobWithStep(members: String) = decodeJob(JOB_ID, """{"best_effort":true,"steps":[{$members}]}""".encodeToByteArray())
+
 /**
  * Guards against documents of other writers that end a loop or the process: a decoder that throws, or returns a value that a later step
  * cannot use, such as an address that no request can be sent to, or numbers whose sums overflow.
@@ -52,4 +59,33 @@
                 decodeWorker("i-1", text.encodeToByteArray()).shouldNotBeNull()
             }
         }
+
+        describe("a submission") {
+            // Guards against a negative demand, which would count as additional free capacity of the worker.
+            it("with a number out of range in a step is malformed") {
+                listOf(
+                    "\"count\":1,\"cpu\":-1", "\"count\":1,\"cpu\":99999999999", "\"count\":1,\"cpu\":\"1\"", "\"count\":1,\"mem_mb\":-5",
+                    "\"count\":1,\"gpu\":1e400", "\"count\":1,\"est_runtime_ms\":-1", "\"count\":1,\"est_runtime_ms\":9223372036854775807",
+                    "\"count\":1,\"max_per_server\":-1", "\"count\":0", "\"count\":1e400", "\"count\":1,\"after\":[-1]",
+                ).forEach { withClue(it) { jobWithStep(it).shouldBeInstanceOf<SubmittedBody.Malformed>() } }
+            }
+
+            // Guards against a job whose tasks fill the heap, which ends the process: a body of 200 KB can ask for 16 million tasks.
+            it("with more tasks in all steps than a VM has memory for is malformed") {
+                val steps = List(12_000) { """{"count":1200}""" }.joinToString(",")
+                decodeJob(JOB_ID, """{"best_effort":true,"steps":[$steps]}""".encodeToByteArray())
+                    .shouldBeInstanceOf<SubmittedBody.Malformed>()
+            }
+
+            it("that is accepted has an amount of work that can be added up, whatever the body was") {
+                checkAll(CONFIG, oddDocuments(VALID_JOB)) { bytes ->
+                    (decodeJob(JOB_ID, bytes) as? SubmittedBody.BestEffort)?.job?.steps?.let { steps ->
+                        steps.forEach { coreMs(it) shouldBeInRange 0L..Long.MAX_VALUE / 2 }
+                        steps.sumOf { coreMs(it) } shouldBeInRange 0L..Long.MAX_VALUE / 2
+                    }
+                }
+            }
+        }
     })
+
+private fun coreMs(step: JobStep): Long = step.count.toLong() * step.estimateMs * step.demand.cpuMilli
