Limit a queue's stretch and latency target

Callers would see: with a latency_target_ms near the largest Long or a stretch that is not finite, every job of the queue is refused as late. Cause: the job's objective, stretch times estimate plus target, overflows.

Failed before: OddDocumentsTest, "has finite, non-negative objectives, whatever the document says"

--- a/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
@@ -84,12 +84,15 @@
         pool = body.text("service").orEmpty(),
         priority = body.int("priority") ?: 0,
         maxAttempts = (body.int("max_attempts") ?: 1).coerceAtLeast(1),
-        stretch = body.double("stretch") ?: 1.0,
-        latencyTargetMs = body.long("latency_target_ms") ?: 0L,
+        stretch = (body.double("stretch") ?: 1.0).coerceIn(0.0, MAX_STRETCH),
+        latencyTargetMs = (body.long("latency_target_ms") ?: 0L).coerceIn(0L, MAX_DURATION_MS),
     )
     return QueueRoute(body.text("host") ?: return null, body.text("path_prefix") ?: return null, queue)
 }
 
+/** Largest factor by which a job may take longer than its estimate. */
+private const val MAX_STRETCH = 1_000_000.0
+
 /** A decoded submission of a client. */
 internal sealed interface SubmittedBody {
     data class BestEffort(val job: FleetJob) : SubmittedBody
--- a/src/test/kotlin/dandelionpoint/platform/OddDocumentsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/OddDocumentsTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.longs.shouldBeInRange
 import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import io.kotest.property.Arb
 import io.kotest.property.PropTestConfig
@@ -86,6 +87,18 @@
                 }
             }
         }
+
+        describe("the configuration") {
+            // Guards against an objective that overflows to a time in the past, by which every job of the queue would be refused.
+            it("has finite, non-negative objectives, whatever the document says") {
+                checkAll(CONFIG, oddDocuments(VALID_CONFIGURATION)) { bytes ->
+                    decodeConfiguration(bytes)?.routes?.forEach { (_, _, queue) ->
+                        (queue.stretch * 86_400_000).toLong() + queue.latencyTargetMs shouldBeInRange 0L..Long.MAX_VALUE / 1_000
+                        (queue.maxAttempts >= 1) shouldBe true
+                    }
+                }
+            }
+        }
     })
 
 private fun coreMs(step: JobStep): Long = step.count.toLong() * step.estimateMs * step.demand.cpuMilli
