Use only worker entries with valid values

Callers would see: an entry of another writer with a number too large, a negative capacity, or a host or id that no request can be sent to was listed as a worker. Its lease loop then ended with an IllegalArgumentException of the HTTP client, and the worker counted as one that only awaits its first run list, with its capacity in the estimate of the waiting time. Cause: only the port and the presence of five fields were checked. A capacity or start time of another type was read as 0. An entry under another worker's address gets 421, by the header Expected-Instance. An entry that fails names no worker.

Failed before: OddDocumentsTest, "with an address that no request can be sent to names no worker" (h:+80), "with an id that cannot be sent in a header names no worker", "with a capacity, start time or label that is out of range or of another type names no worker", "that is accepted has an address and an id that a request can be built with, whatever the entry was"

--- a/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
@@ -19,6 +19,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.intOrNull
 import kotlinx.serialization.json.put
+import okhttp3.HttpUrl.Companion.toHttpUrlOrNull
 
 private const val READY = "ready"
 private const val DRAINING = "draining"
@@ -33,18 +34,35 @@
 private const val MAX_MEMORY_MB = 67_108_864
 private const val MAX_ACCELERATORS = 1_024
 
+/** Latest time that is accepted as the start of a worker or as its clock, in ms. */
+private const val MAX_TIME_MS = 253_402_300_799_999L
+
 /** Longest estimate of a task and longest latency target, in ms; with [MAX_JOB_TASKS] and [MAX_CPU_MILLI] a job's work fits a Long. */
 private const val MAX_DURATION_MS = 86_400_000L
 
-/** Decodes a worker's registration under its [id]; null if it is incomplete or its state is neither ready nor draining. */
+/** Limit of a text that becomes part of a key in the store, in bytes. */
+private const val MAX_KEY_BYTES = 200
+
+/** Ids that can be sent in a header. */
+private val WORKER_ID = Regex("[\\x21-\\x7e]{1,$MAX_KEY_BYTES}")
+
+/** A host name or IPv4 address, or an IPv6 address in brackets, and a port. */
+private val ADDRESS = Regex("([A-Za-z0-9._-]+|\\[[0-9A-Fa-f:.]+]):([0-9]{1,5})")
+
+/**
+ * Decodes a worker's registration under its [id]; null if it is incomplete, a value has another type or is out of range, no request can be
+ * sent to the address, or the state is neither ready nor draining.
+ */
 internal fun decodeWorker(id: String, bytes: ByteArray): WorkerEntry? {
-    val body = parseObject(bytes) ?: return null
+    val body = parseObject(bytes)?.takeIf { WORKER_ID.matches(id) && hasValidCounters(it) } ?: return null
     val state = body.text("state")?.takeIf { it == READY || it == DRAINING }
     val address = body.text("address")?.let { hostAndPort(it) }
-    val pool = body.text("service")
-    val dataCentre = body.text("zone")
-    val capacity = body.obj("capacity")?.let { decodeDemand(it) }
-    val isComplete = listOf(state, address, pool, dataCentre, capacity).all { it != null }
+    val pool = body.text("service")?.takeIf { isKeyText(it) }
+    val dataCentre = body.text("zone")?.takeIf { isKeyText(it) }
+    val capacity = body.obj("capacity")?.let { decodeDemand(it) }?.takeIf { it != NO_RESOURCES }
+    val labels = decodeLabels(body)
+    val startedAtMs = if ("born" in body) body.wholeNumber("born")?.takeIf { it in 0..MAX_TIME_MS } else 0L
+    val isComplete = listOf(state, address, pool, dataCentre, capacity, labels, startedAtMs).all { it != null }
     if (!isComplete) return null
     return WorkerEntry(
         id = id,
@@ -54,16 +72,34 @@
         dataCentre = checkNotNull(dataCentre),
         isDraining = state == DRAINING,
         capacity = checkNotNull(capacity),
-        labels = body.array("labels").mapNotNull { it.asText() }.toSet(),
-        startedAtMs = body.long("born") ?: 0L,
+        labels = checkNotNull(labels),
+        startedAtMs = checkNotNull(startedAtMs),
     )
 }
 
+/** Numbers of an entry that are not used here but show that the entry is a worker's. */
+private fun hasValidCounters(body: JsonObject): Boolean =
+    listOf("slots", "seq", "cold_left_ms").all { it !in body || (body.double(it) ?: -1.0) >= 0.0 }
+
+/** True if [text] can be a key of the store and a name in log lines. */
+private fun isKeyText(text: String): Boolean {
+    val bytes = text.encodeToByteArray()
+    return text.isNotBlank() && bytes.size <= MAX_KEY_BYTES && bytes.decodeToString() == text && text.none { it.isISOControl() }
+}
+
 private fun hostAndPort(address: String): Pair<String, Int>? {
-    val port = address.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..65_535 } ?: return null
-    return address.substringBeforeLast(':').takeIf { it.isNotEmpty() }?.let { it to port }
+    val (host, port) = ADDRESS.matchEntire(address)?.destructured ?: return null
+    return if ("http://$address/".toHttpUrlOrNull() == null || port.toInt() == 0) null else host to port.toInt()
 }
 
+/** The labels of an entry; null if they are not an array of texts. */
+private fun decodeLabels(body: JsonObject): Set<String>? {
+    val labels = if ("labels" in body) body["labels"] as? JsonArray ?: return null else JsonArray(emptyList())
+    return labels.map { it.asText() ?: return null }.toSet()
+}
+
+private val NO_RESOURCES = Demand(0)
+
 /** The resources in [body]; null if a member is not a number in its range. A missing member is 0. */
 private fun decodeDemand(body: JsonObject): Demand? = Demand(
     cpuMilli = body.intUpTo(MAX_CPU_MILLI, "cpu") ?: return null,
--- a/src/test/kotlin/dandelionpoint/platform/OddDocumentsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/OddDocumentsTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.longs.shouldBeInRange
+import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -13,6 +14,7 @@
 import io.kotest.property.arbitrary.byteArray
 import io.kotest.property.arbitrary.int
 import io.kotest.property.checkAll
+import okhttp3.Request
 
 private val CONFIG = PropTestConfig(seed = 23, iterations = 1_000)
 
@@ -29,6 +31,12 @@
 /** The body of a job whose only step has [members]. */
 private fun jobWithStep(members: String) = decodeJob(JOB_ID, """{"best_effort":true,"steps":[{$members}]}""".encodeToByteArray())
 
+private fun workerWith(field: String, value: String): ByteArray {
+    val member = Regex("\"$field\":(\"[^\"]*\"|-?[0-9]+|\\[[^]]*]|\\{[^}]*})")
+    check(member.containsMatchIn(VALID_WORKER))
+    return VALID_WORKER.replace(member, Regex.escapeReplacement("\"$field\":$value")).encodeToByteArray()
+}
+
 /**
  * Guards against documents of other writers that end a loop or the process: a decoder that throws, or returns a value that a later step
  * cannot use, such as an address that no request can be sent to, or numbers whose sums overflow.
@@ -61,6 +69,45 @@
             }
         }
 
+        describe("a worker's entry") {
+            // Guards against an address that the HTTP client refuses when the first call is made, in the loop that leases the worker.
+            it("with an address that no request can be sent to names no worker") {
+                listOf(
+                    "h:0", "h:65536", "h:-1", "h:+80", "h:99999999999", "h:8080x", "h", ":80", "a b:80", "a\\u0000:80", "a\\n:80", "a/b:80",
+                    "a@b:80", "a?b:80", "a#b:80", "a%zz:80", "..:80", "a..b:80", "[::1:80", "é:80", "-:", " 10.0.0.9:80", "10.0.0.9:80 ",
+                ).forEach { withClue(it) { decodeWorker("i-1", workerWith("address", "\"$it\"")).shouldBeNull() } }
+            }
+
+            it("with an id that cannot be sent in a header names no worker") {
+                listOf("", " ", "i\n1", "i\u0000", "é", "i".repeat(201)).forEach { id ->
+                    withClue(id) { decodeWorker(id, VALID_WORKER.encodeToByteArray()).shouldBeNull() }
+                }
+            }
+
+            // Guards against sums of capacities that overflow, and against a negative capacity that frees others.
+            it("with a capacity, start time or label that is out of range or of another type names no worker") {
+                listOf("{}", "{\"cpu\":-1}", "{\"cpu\":1e400}", "{\"cpu\":\"1\"}", "{\"cpu\":2147483647}", "{\"cpu\":1000,\"gpu\":-1}", "7")
+                    .forEach { withClue(it) { decodeWorker("i-1", workerWith("capacity", it)).shouldBeNull() } }
+                listOf("-1", "1e400", "99999999999999999999", "9223372036854775807", "NaN", "\"17\"", "1.5", "true")
+                    .forEach { withClue(it) { decodeWorker("i-1", workerWith("born", it)).shouldBeNull() } }
+                listOf("7", "[7]", "\"a\"", "[[\"a\"]]").forEach {
+                    withClue(it) { decodeWorker("i-1", workerWith("labels", it)).shouldBeNull() }
+                }
+                listOf("\"\"", "\"a\\u0000\"", "\"" + "z".repeat(201) + "\"").forEach {
+                    withClue(it) { decodeWorker("i-1", workerWith("zone", it)).shouldBeNull() }
+                }
+            }
+
+            it("that is accepted has an address and an id that a request can be built with, whatever the entry was") {
+                checkAll(CONFIG, oddDocuments(VALID_WORKER)) { bytes ->
+                    decodeWorker("i-1", bytes)?.let { entry ->
+                        Request.Builder().url("http://${entry.host}:${entry.port}/v1/hold").header("Expected-Instance", entry.id).build()
+                        entry.capacity.covers(entry.capacity - entry.capacity) shouldBe true
+                    }
+                }
+            }
+        }
+
         describe("a submission") {
             // Guards against a negative demand, which would count as additional free capacity of the worker.
             it("with a number out of range in a step is malformed") {
