Follow a table on after a row, a listener or a call has failed

Callers would see: the VM goes on with the workers and the configuration that it last read: it uses workers that have left and never uses new ones. Cause: an exception or error from a decoder, from the listener (which also updates the cells) or from the store's client ended the coroutine that follows the table. Nothing started it again, and the only trace was the stack trace on standard error: 'Exception in thread "DefaultDispatcher-worker-4" java.lang.StackOverflowError'. Change: a failure is logged with table and step, and the table is followed on. A worker's row that cannot be decoded or names no worker is logged once, with key and reason, and only that row is left out.

--- a/src/main/kotlin/dandelionpoint/fleet/FleetTables.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetTables.kt
@@ -61,7 +61,7 @@
 
     /** Puts the configuration in [document], received from [source], in force unless its version is not higher than the current one's. */
     fun applyConfiguration(document: ByteArray, source: String) {
-        val read = ports.documents.configuration(document)
+        val read = runCatching { ports.documents.configuration(document) }.getOrNull()
         if (read == null) log.warn { "event=configuration_unreadable source=$source" } else apply(read, source)
     }
 
@@ -82,6 +82,9 @@
     }
 
     private inner class WorkerListener : TableListener {
+        /** Ids of the rows that name no worker to use, so that each is logged once. */
+        private val ignored = mutableSetOf<String>()
+
         override fun onStoreAnswer() {
             workerList.onStoreAnswer(clock.millis())
             events.workersChanged()
@@ -94,7 +97,19 @@
             if (entry != null) workerList.put(entry) else workerList.onRemoved(row.key, clock.millis())
         }
 
-        private fun read(row: SharedRow): WorkerEntry? = row.value?.let { ports.documents.worker(row.key, it) }
+        /** The worker in [row]; null if the row was deleted or names no worker to use. */
+        private fun read(row: SharedRow): WorkerEntry? {
+            val decoded = runCatching { row.value?.let { ports.documents.worker(row.key, it) } }
+            val entry = decoded.getOrNull()
+            if (entry != null || row.value == null) ignored -= row.key else logIgnored(row, decoded.exceptionOrNull())
+            return entry
+        }
+
+        private fun logIgnored(row: SharedRow, failure: Throwable?) {
+            if (ignored.size >= MAX_LOGGED_ROWS || !ignored.add(row.key)) return
+            val reason = failure?.toString() ?: "incomplete, out of range or in an unknown state"
+            log.warn { "event=worker_row_ignored worker=\"${row.key}\" bytes=${row.value?.size} reason=\"$reason\"" }
+        }
     }
 
     private inner class VmListener : TableListener {
@@ -120,5 +135,8 @@
         /** Longest wait of a call for changes of the entry VMs' table, in ms. */
         const val VM_WATCH_MS = 10_000L
         const val ANNOUNCE_RETRY_MS = 500L
+
+        /** Number of rows without a usable worker that are logged. */
+        const val MAX_LOGGED_ROWS = 1_000
     }
 }
--- a/src/main/kotlin/dandelionpoint/fleet/StoreWatch.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/StoreWatch.kt
@@ -9,7 +9,9 @@
 import dandelionpoint.protocol.fleet.SharedRow
 import dandelionpoint.protocol.fleet.SharedRows
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 
 private val log = KotlinLogging.logger {}
 
@@ -36,16 +38,23 @@
     private var version: Long? = null
     private var isUnavailable = false
 
-    /** Follows the table until the coroutine is cancelled. */
+    /** Follows the table until the coroutine is cancelled. A failure of a call or of the listener is logged and does not end this. */
     suspend fun follow() {
         while (true) {
             val known = version
-            val hasAnswered = if (known == null) readTable() else readChanges(known)
-            recordContact(hasAnswered)
+            val hasAnswered = attempt("read") { if (known == null) readTable() else readChanges(known) } ?: false
+            attempt("report_contact") { recordContact(hasAnswered) }
             delay(if (hasAnswered) pauseMs else RETRY_MS)
         }
     }
 
+    /** Returns the result of [action], or null if it has failed. */
+    private suspend fun <T> attempt(step: String, action: suspend () -> T): T? = runCatching { action() }.getOrElse { failure ->
+        currentCoroutineContext().ensureActive()
+        log.warn { "event=table_step_failed table=$table step=$step reason=\"$failure\"" }
+        null
+    }
+
     private fun recordContact(hasAnswered: Boolean) {
         if (hasAnswered) listener.onStoreAnswer()
         if (hasAnswered == !isUnavailable) return
@@ -57,7 +66,7 @@
         is Either.Left -> false
 
         is Either.Right -> {
-            listener.replaced(read.value.rows)
+            attempt("apply_table") { listener.replaced(read.value.rows) }
             version = read.value.version
             true
         }
@@ -74,7 +83,7 @@
                 }
 
                 is RowChanges.Changed -> {
-                    if (changes.rows.isNotEmpty()) listener.changed(changes.rows)
+                    if (changes.rows.isNotEmpty()) attempt("apply_changes") { listener.changed(changes.rows) }
                     version = changes.version
                 }
             }
--- a/src/test/kotlin/dandelionpoint/fleet/FleetTablesTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/FleetTablesTest.kt
@@ -1,10 +1,20 @@
 package dandelionpoint.fleet
 
+import arrow.core.Either
 import dandelionpoint.coordination.fleet.FleetRules
+import dandelionpoint.platform.VALID_WORKER
+import dandelionpoint.platform.decodeConfiguration
+import dandelionpoint.platform.decodeWorker
+import dandelionpoint.platform.nestedArrays
+import dandelionpoint.platform.nestedObjects
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.FleetConfiguration
+import dandelionpoint.protocol.fleet.RowChanges
+import dandelionpoint.protocol.fleet.RowsRead
+import dandelionpoint.protocol.fleet.SharedRows
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.protocol.peer.VmIdentity
+import dandelionpoint.protocol.store.StoreError
 import dandelionpoint.standin.fleet.MemoryRows
 import dandelionpoint.standin.fleet.MemoryWorkers
 import dandelionpoint.transport.peer.PeerAddress
@@ -16,9 +26,11 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+private const val WORKERS = "workers"
 private const val OPERATOR = "operator"
 private const val KEY = "configuration"
 
@@ -30,20 +42,39 @@
         bytes.decodeToString().toLongOrNull()?.let { FleetConfiguration(it, emptyList()) }
 }
 
-private object NoEvents : TableEvents {
+/** Reads the platform's documents; fails for the worker [FAILING]. */
+private object PlatformDocuments : DocumentReader {
+    const val FAILING = "failing"
+
+    override fun worker(id: String, bytes: ByteArray): WorkerEntry? =
+        if (id == FAILING) throw StackOverflowError("injected fault") else decodeWorker(id, bytes)
+
+    override fun configuration(bytes: ByteArray): FleetConfiguration? = decodeConfiguration(bytes)
+}
+
+private class Events(private val onWorkersChanged: () -> Unit = {}) : TableEvents {
     override fun configured() = Unit
 
-    override fun workersChanged() = Unit
+    override fun workersChanged() = onWorkersChanged()
 
     override fun vmFound(address: PeerAddress) = Unit
 }
 
-/** A VM's tables on an in-memory store. */
-private class TablesFixture : AutoCloseable {
+/** A VM's tables on an in-memory store, or on [rows] that wrap it. */
+private class TablesFixture(
+    documents: DocumentReader = NumberDocuments,
+    events: TableEvents = Events(),
+    rows: (MemoryRows) -> SharedRows = { it },
+) : AutoCloseable {
     val store = MemoryRows()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val ports = FleetPorts(store, SharedTables("workers", OPERATOR, KEY), NumberDocuments, MemoryWorkers(), canConnect = { true })
-    val tables = FleetTables(ports, NoEvents, Clock.System, FleetRules())
+    private val ports =
+        FleetPorts(rows(store), SharedTables(WORKERS, OPERATOR, KEY), documents, MemoryWorkers(), canConnect = { true })
+    val tables = FleetTables(ports, events, Clock.System, FleetRules())
+
+    fun workerWrites(id: String, document: String = VALID_WORKER) = store.put(WORKERS, id, document.encodeToByteArray())
+
+    suspend fun awaitWorkers(vararg ids: String) = eventually(5.seconds) { tables.workers().map { it.id }.toSet() shouldBe ids.toSet() }
 
     fun operatorWrites(document: String) = store.put(OPERATOR, KEY, document.encodeToByteArray())
 
@@ -58,7 +89,8 @@
 
 /**
  * Guards against a VM that serves with an outdated configuration: because it misses a write after the store has dropped its change history,
- * because a delayed read or a peer brings an older version back, or because an unreadable document replaces the one in force.
+ * because a delayed read or a peer brings an older version back, or because an unreadable document replaces the one in force. Also guards
+ * against a list of workers that is no longer followed because of one row.
  */
 internal class FleetTablesTest :
     DescribeSpec({
@@ -103,4 +135,84 @@
                 }
             }
         }
+
+        describe("the list of workers") {
+            // Guards against one entry that ends the coroutine which follows the list, so that it no longer changes.
+            ODD_ENTRIES.forEach { (kind, document) ->
+                it("is followed, and the other workers are used, when one entry is $kind") {
+                    TablesFixture(PlatformDocuments).use { fixture ->
+                        fixture.workerWrites("i-1")
+                        fixture.workerWrites("odd", document)
+                        fixture.follow()
+                        fixture.awaitWorkers("i-1")
+                        fixture.workerWrites("odd", document)
+                        fixture.workerWrites("i-2")
+                        fixture.awaitWorkers("i-1", "i-2")
+                        fixture.store.discardHistory()
+                        fixture.workerWrites("i-3")
+                        fixture.awaitWorkers("i-1", "i-2", "i-3")
+                    }
+                }
+            }
+
+            // Guards against an error of the decoder that ends the coroutine, whatever its cause.
+            it("is followed when an entry cannot be decoded because of an error") {
+                TablesFixture(PlatformDocuments).use { fixture ->
+                    fixture.workerWrites(PlatformDocuments.FAILING)
+                    fixture.workerWrites("i-1")
+                    fixture.follow()
+                    fixture.awaitWorkers("i-1")
+                    fixture.workerWrites(PlatformDocuments.FAILING)
+                    fixture.workerWrites("i-2")
+                    fixture.awaitWorkers("i-1", "i-2")
+                }
+            }
+
+            it("is followed when applying a change to the VM has failed") {
+                TablesFixture(PlatformDocuments, Events { error("injected fault") }).use { fixture ->
+                    fixture.workerWrites("i-1")
+                    fixture.follow()
+                    fixture.awaitWorkers("i-1")
+                    fixture.workerWrites("i-2")
+                    fixture.awaitWorkers("i-1", "i-2")
+                }
+            }
+
+            it("is followed when a call to the store has failed with an exception") {
+                TablesFixture(PlatformDocuments, rows = { FailingRows(it) }).use { fixture ->
+                    fixture.workerWrites("i-1")
+                    fixture.follow()
+                    fixture.awaitWorkers("i-1")
+                    fixture.workerWrites("i-2")
+                    fixture.awaitWorkers("i-1", "i-2")
+                }
+            }
+        }
     })
+
+/** Entries that another writer may leave. */
+private val ODD_ENTRIES = mapOf(
+    "nested deeply in arrays" to VALID_WORKER.replace("\"1.2\"", nestedArrays(30_000)),
+    "nested deeply in objects and arrays" to VALID_WORKER.replace("\"1.2\"", nestedObjects(20_000)),
+    "a number too large" to VALID_WORKER.replace("\"cpu\":16000", "\"cpu\":1e400"),
+    "at a port out of range" to VALID_WORKER.replace(":8080", ":65536"),
+    "at a host with a space" to VALID_WORKER.replace("10.0.0.9", "10.0.0.9 x"),
+    "empty" to "",
+)
+
+/** Fails every second call with an exception. */
+private class FailingRows(private val rows: SharedRows) : SharedRows by rows {
+    private val calls = AtomicInteger()
+
+    private fun failSometimes() = check(calls.incrementAndGet() % 2 == 0) { "injected fault" }
+
+    override suspend fun read(table: String, from: String, to: String): Either<StoreError, RowsRead> {
+        failSometimes()
+        return rows.read(table, from, to)
+    }
+
+    override suspend fun changes(table: String, version: Long, waitMs: Long): Either<StoreError, RowChanges> {
+        failSometimes()
+        return rows.changes(table, version, waitMs)
+    }
+}
