Report a call that no request can be built for as not sent

Callers would see: the lease loop of the worker ends, and a run that was placed there is never started or ended; its job waits for its deadline. Cause: OkHttp throws IllegalArgumentException for a host or header value that it refuses, out of the port that reports every other failure as an outcome. Change: such a call is reported as not sent.

Failed before: PlatformWorkersTest, "is not sent, and its outcome says so"

--- a/src/main/kotlin/dandelionpoint/platform/PlatformWorkers.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformWorkers.kt
@@ -137,13 +137,17 @@
 
     private suspend fun post(worker: WorkerEntry, call: String, body: JsonObject, timeoutMs: Long): HttpOutcome {
         val address = "${worker.host}:${worker.port}"
+        val request = try {
+            Request
+                .Builder()
+                .url("http://$address/v1/$call")
+                .header("Expected-Instance", worker.id)
+                .post(OneShotBody(body.toString().encodeToByteArray(), JSON_TYPE))
+                .build()
+        } catch (e: IllegalArgumentException) {
+            return HttpOutcome.NotWritten("no request can be sent to worker ${worker.id}: ${e.message}", unreachable = true)
+        }
         val channel = channels.computeIfAbsent(address) { HttpChannel(CHANNEL, threads) }
-        val request = Request
-            .Builder()
-            .url("http://$address/v1/$call")
-            .header("Expected-Instance", worker.id)
-            .post(OneShotBody(body.toString().encodeToByteArray(), JSON_TYPE))
-            .build()
         return channel.send(request, timeoutMs)
     }
 
