Read the numbers of a worker's answer within their range

Callers would see: a run number above the range of an Int was cut to 32 bits and named another run, so that the end or progress of a run that does not exist was applied to one that does. A clock near the largest Long made the lease times overflow; a start time of another type was read as unknown. Cause: the rows were read with toInt() on a Long and without ranges. Change: rows with a run or end number out of range are left out; a list whose clock or start time is out of range or of another type counts as no answer.

--- a/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
@@ -6,12 +6,17 @@
 
 import arrow.core.raise.nullable
 import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.EndedRow
 import dandelionpoint.protocol.fleet.FleetConfiguration
 import dandelionpoint.protocol.fleet.FleetJob
 import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.JobStep
+import dandelionpoint.protocol.fleet.LeaseReport
 import dandelionpoint.protocol.fleet.QueueRoute
+import dandelionpoint.protocol.fleet.RunEnd
+import dandelionpoint.protocol.fleet.RunningRow
 import dandelionpoint.protocol.fleet.TaskRef
+import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
@@ -213,3 +218,40 @@
     if (parts.size != 4) return null
     return TaskRef(parts[0], parts[2].toIntOrNull() ?: return null, parts[3].toIntOrNull() ?: return null)
 }
+
+/** The worker's clock in an answer, in ms; null if it is missing or out of range. */
+internal fun JsonObject.clockMs(): Long? = long("clock_ms")?.takeIf { it in 0..MAX_TIME_MS }
+
+/**
+ * Decodes a worker's run list; null if it is not a JSON object with a clock, or the clock or the start time is out of range. Rows that
+ * cannot be read are left out.
+ */
+internal fun decodeRunList(bytes: ByteArray): LeaseReport? {
+    val body = parseObject(bytes) ?: return null
+    val running = body.array("running").mapNotNull { runningRow(it as? JsonArray) }
+    val ended = body.array("ended").mapNotNull { endedRow(it as? JsonArray) }
+    return LeaseReport(body.clockMs() ?: return null, body.longUpTo(MAX_TIME_MS, "born") ?: return null, running, ended)
+}
+
+/** A row is [task, run, saved state, percent]. */
+private fun runningRow(row: JsonArray?): RunningRow? {
+    val run = row?.run(taskAt = 0) ?: return null
+    return RunningRow(run, row.getOrNull(3)?.asLong()?.coerceIn(0, 100)?.toInt() ?: 0)
+}
+
+/** A row is [number, task, run, how it ended, saved state]. */
+private fun endedRow(row: JsonArray?): EndedRow? {
+    val run = row?.run(taskAt = 1) ?: return null
+    val end = when (row.getOrNull(3)?.asText()) {
+        "done" -> RunEnd.DONE
+        "failed" -> RunEnd.FAILED
+        else -> RunEnd.LOST
+    }
+    return EndedRow(row.getOrNull(0)?.asLong()?.takeIf { it > 0 } ?: return null, run, end)
+}
+
+private fun JsonArray.run(taskAt: Int): TaskRun? {
+    val task = getOrNull(taskAt)?.asText()?.let { decodeTask(it) } ?: return null
+    val run = getOrNull(taskAt + 1)?.asLong()?.takeIf { it in 1..Int.MAX_VALUE } ?: return null
+    return TaskRun(task, run.toInt())
+}
--- a/src/main/kotlin/dandelionpoint/platform/PlatformWorkers.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformWorkers.kt
@@ -4,12 +4,8 @@
  */
 package dandelionpoint.platform
 
-import dandelionpoint.protocol.fleet.EndedRow
 import dandelionpoint.protocol.fleet.LeaseCall
 import dandelionpoint.protocol.fleet.LeaseOutcome
-import dandelionpoint.protocol.fleet.LeaseReport
-import dandelionpoint.protocol.fleet.RunEnd
-import dandelionpoint.protocol.fleet.RunningRow
 import dandelionpoint.protocol.fleet.StartOrder
 import dandelionpoint.protocol.fleet.StartOutcome
 import dandelionpoint.protocol.fleet.StartRefusal
@@ -21,12 +17,8 @@
 import dandelionpoint.transport.http.HttpChannelSettings
 import dandelionpoint.transport.http.HttpOutcome
 import dandelionpoint.transport.http.OneShotBody
-import kotlinx.serialization.json.JsonArray
-import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.longOrNull
 import kotlinx.serialization.json.put
 import okhttp3.Request
 import java.util.concurrent.ConcurrentHashMap
@@ -53,7 +45,7 @@
     private fun startOutcome(answer: HttpOutcome.Answer): StartOutcome {
         val body = parseObject(answer.body)
         return when (answer.status) {
-            OK -> body?.long("clock_ms")?.let { StartOutcome.Started(it) } ?: StartOutcome.Unknown("the answer cannot be read")
+            OK -> body?.clockMs()?.let { StartOutcome.Started(it) } ?: StartOutcome.Unknown("the answer cannot be read")
             CONFLICT -> StartOutcome.Refused(refusal(body?.text("reason")))
             OTHER_INCARNATION -> StartOutcome.Refused(StartRefusal.OTHER_INCARNATION)
             TOO_MANY_REQUESTS, UNAVAILABLE -> StartOutcome.Refused(StartRefusal.UNHEALTHY)
@@ -94,47 +86,13 @@
         }
     }
 
-    private fun leaseOutcome(answer: HttpOutcome.Answer): LeaseOutcome {
-        val body = parseObject(answer.body)
-        return when (answer.status) {
-            OK -> body?.let { report(it) }?.let { LeaseOutcome.Answered(it) } ?: LeaseOutcome.NoAnswer("the answer cannot be read")
-            CONFLICT -> LeaseOutcome.Fenced
-            OTHER_INCARNATION -> LeaseOutcome.OtherIncarnation
-            else -> LeaseOutcome.NoAnswer("status ${answer.status}")
-        }
-    }
-
-    private fun report(body: JsonObject): LeaseReport? {
-        val clock = body.long("clock_ms") ?: return null
-        val running = body.array("running").mapNotNull { runningRow(it as? JsonArray) }
-        val ended = body.array("ended").mapNotNull { endedRow(it as? JsonArray) }
-        return LeaseReport(clock, body.long("born") ?: 0L, running, ended)
-    }
-
-    /** A row is [task, run, saved state, percent]. */
-    private fun runningRow(row: JsonArray?): RunningRow? {
-        val run = row?.run(taskAt = 0) ?: return null
-        return RunningRow(run, row.getOrNull(3)?.asLong()?.toInt() ?: 0)
+    private fun leaseOutcome(answer: HttpOutcome.Answer): LeaseOutcome = when (answer.status) {
+        OK -> decodeRunList(answer.body)?.let { LeaseOutcome.Answered(it) } ?: LeaseOutcome.NoAnswer("the answer cannot be read")
+        CONFLICT -> LeaseOutcome.Fenced
+        OTHER_INCARNATION -> LeaseOutcome.OtherIncarnation
+        else -> LeaseOutcome.NoAnswer("status ${answer.status}")
     }
 
-    /** A row is [number, task, run, how it ended, saved state]. */
-    private fun endedRow(row: JsonArray?): EndedRow? {
-        val run = row?.run(taskAt = 1) ?: return null
-        val end = when (row.getOrNull(3)?.asText()) {
-            "done" -> RunEnd.DONE
-            "failed" -> RunEnd.FAILED
-            else -> RunEnd.LOST
-        }
-        return EndedRow(row.getOrNull(0)?.asLong() ?: return null, run, end)
-    }
-
-    private fun JsonArray.run(taskAt: Int): TaskRun? {
-        val task = getOrNull(taskAt)?.asText()?.let { decodeTask(it) } ?: return null
-        return TaskRun(task, getOrNull(taskAt + 1)?.asLong()?.toInt() ?: return null)
-    }
-
-    private fun JsonElement.asLong(): Long? = (this as? JsonPrimitive)?.longOrNull
-
     private suspend fun post(worker: WorkerEntry, call: String, body: JsonObject, timeoutMs: Long): HttpOutcome {
         val address = "${worker.host}:${worker.port}"
         val request = try {
--- a/src/test/kotlin/dandelionpoint/platform/PlatformWorkersTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformWorkersTest.kt
@@ -14,6 +14,7 @@
 import io.javalin.compression.CompressionStrategy
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -74,6 +75,25 @@
                 report.ended shouldHaveSize 1
             }
 
+            // Guards against a run number that is cut to 32 bits and then names another run.
+            it("leaves out the rows with a run or end number out of range") {
+                val odd = """{"clock_ms":1,"born":17,"running":[["5c0e7a21d94b36f8.0.1.17",4294967298,"",41]],
+                    "ended":[[58,"5c0e7a21d94b36f8.0.1.17",4294967298,"done",""],[-1,"5c0e7a21d94b36f8.0.1.17",2,"done",""]]}"""
+                val report = checkNotNull(workers.runList(worker, odd))
+                report.running.shouldBeEmpty()
+                report.ended.shouldBeEmpty()
+            }
+
+            // Guards against a clock or start time at the end of the number range, which later sums overflow.
+            it("with a clock or start time out of range counts as no answer") {
+                listOf("1e400", "-1", "99999999999999999999", "9223372036854775807", "\"1\"", "null", "{}").forEach { number ->
+                    withClue(number) {
+                        workers.runList(worker, """{"clock_ms":$number,"born":17}""") shouldBe null
+                        workers.runList(worker, """{"clock_ms":1,"born":$number}""") shouldBe null
+                    }
+                }
+            }
+
             it("that is nested too deeply counts as no answer") {
                 workers.runList(worker, nestedArrays(200_000)) shouldBe null
                 workers.runList(worker, """{"clock_ms":1,"running":${nestedArrays(200_000)}}""") shouldBe null
