Limit the size of a worker's answer to 1 MB

Callers would see: a VM whose heap is filled by one odd answer ends, as it is started with -XX:+ExitOnOutOfMemoryError. Cause: answers up to 4 MB were parsed into a tree, whose size is a multiple of the text's. A run list has at most 500 ended runs. Change: an answer above 1 MB counts as lost. The test shows only that such an answer was parsed before.

Failed before: PlatformWorkersTest, "that is larger than a run list can be counts as no answer": Expected null but actual was LeaseReport(clockMs=1, ...)

--- a/src/main/kotlin/dandelionpoint/platform/PlatformWorkers.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformWorkers.kt
@@ -116,7 +116,14 @@
     }
 
     private companion object {
-        val CHANNEL = HttpChannelSettings(connectTimeoutMs = 200, keepAliveMs = 60_000, maxIdleConnections = 6, isCleartext = true)
+        val CHANNEL = HttpChannelSettings(
+            connectTimeoutMs = 200,
+            keepAliveMs = 60_000,
+            maxIdleConnections = 6,
+            // Limits the memory that an odd answer takes when it is parsed. A run list has at most 500 ended runs.
+            maxBodyBytes = 1L * 1024 * 1024,
+            isCleartext = true,
+        )
         const val OK = 200
         const val BAD_REQUEST = 400
         const val CONFLICT = 409
--- a/src/test/kotlin/dandelionpoint/platform/PlatformWorkersTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformWorkersTest.kt
@@ -99,6 +99,11 @@
                 workers.runList(worker, """{"clock_ms":1,"running":${nestedArrays(200_000)}}""") shouldBe null
             }
 
+            // Guards against an answer that fills the heap when it is parsed, which ends the process.
+            it("that is larger than a run list can be counts as no answer") {
+                workers.runList(worker, """{"clock_ms":1,"born":17,"x":[${"{},".repeat(400_000)}{}]}""") shouldBe null
+            }
+
             it("that was changed at random causes no exception") {
                 checkAll(PropTestConfig(seed = 29, iterations = 300), oddDocuments(VALID_RUN_LIST)) { bytes ->
                     worker.answer = bytes
