Add the capacities in heartbeats up without overflow

Callers would see: jobs of a pool are refused, or wait as if it had no worker. Cause: the free CPU (thousandths of a core) and the cores of all workers of a pool were added up as Int; 2.1 million cores, or fewer in one odd heartbeat, overflow the sum. Change: the sums are Long.

Failed before: RemoteCapacityTest: 0.0 should be > 0.0

--- a/src/main/kotlin/dandelionpoint/fleet/RemoteCapacity.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/RemoteCapacity.kt
@@ -12,11 +12,14 @@
 
     private val lock = Any()
     private val workers = HashMap<VmIdentity, List<RemoteWorker>>()
-    private val cores = HashMap<VmIdentity, Map<String, Int>>()
+    private val cores = HashMap<VmIdentity, Map<String, Long>>()
 
     /** Replaces what is known of [vm] by its heartbeat. */
     fun update(vm: VmIdentity, heartbeat: FleetHeartbeat) = synchronized(lock) {
-        cores[vm] = heartbeat.cells.flatMap { it.cores.entries }.groupBy({ it.key }) { it.value }.mapValues { it.value.sum() }
+        cores[vm] =
+            heartbeat.cells.flatMap {
+                it.cores.entries
+            }.groupBy({ it.key }) { it.value }.mapValues { it.value.sumOf { cores -> cores.toLong() } }
         workers[vm] = if (heartbeat.isStopping) {
             emptyList()
         } else {
@@ -52,8 +55,8 @@
      * least an equal share of all.
      */
     fun cores(pool: String, hasOwnCell: Boolean): Double = synchronized(lock) {
-        val free = workers.values.flatten().filter { it.pool == pool }.sumOf { it.free.cpuMilli } / MILLI
-        val share = if (hasOwnCell) 0.0 else cores.values.sumOf { it[pool] ?: 0 }.toDouble() / (cores.size + 1)
+        val free = workers.values.flatten().filter { it.pool == pool }.sumOf { it.free.cpuMilli.toLong() } / MILLI
+        val share = if (hasOwnCell) 0.0 else cores.values.sumOf { it[pool] ?: 0L }.toDouble() / (cores.size + 1)
         maxOf(free, share)
     }
 
--- /dev/null
+++ b/src/test/kotlin/dandelionpoint/fleet/RemoteCapacityTest.kt
@@ -0,0 +1,23 @@
+package dandelionpoint.fleet
+
+import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.peer.CellStatus
+import dandelionpoint.protocol.peer.FleetHeartbeat
+import dandelionpoint.protocol.peer.FreeCapacity
+import dandelionpoint.protocol.peer.VmIdentity
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.doubles.shouldBeGreaterThan
+
+/** Guards against a sum of the capacities in heartbeats that overflows, by which all jobs of a pool would be refused. */
+internal class RemoteCapacityTest :
+    DescribeSpec({
+        it("the cores of many or large workers add up to a positive number") {
+            val large = List(3) { FreeCapacity(Demand(Int.MAX_VALUE / 2), speed = 1f) }
+            val cores = mapOf("p" to Int.MAX_VALUE)
+            val vm = VmIdentity("vm-1", "incarnation-1", "north", "akl-a", "127.0.0.1", 1)
+            val remote = RemoteCapacity()
+            remote.update(vm, FleetHeartbeat(listOf(CellStatus("akl-a", 1, mapOf("p" to large), cores), CellStatus("b", 1, cores = cores))))
+            remote.cores("p", hasOwnCell = true) shouldBeGreaterThan 0.0
+            remote.cores("p", hasOwnCell = false) shouldBeGreaterThan 0.0
+        }
+    })
