Refuse settings and administration bodies that are nested too deeply

Callers would see: a call of the administration interface with 64 KB of brackets gets status 500, and a settings file of that kind ends the loop that reads it again, in place of a list of faults. Cause: StackOverflowError from the JSON parser, as with the platform's documents. Comments are allowed here, so the scan skips them.

Failed before: SettingsReaderTest, "reports a document that is nested too deeply, also behind a comment with a quote": StackOverflowError

--- a/src/main/kotlin/dandelionpoint/settings/SettingsReader.kt
+++ b/src/main/kotlin/dandelionpoint/settings/SettingsReader.kt
@@ -8,6 +8,8 @@
 import arrow.core.right
 import arrow.core.toNonEmptyListOrNull
 import dandelionpoint.coordination.configuration.ConfigurationLimits
+import dandelionpoint.protocol.MAX_JSON_NESTING
+import dandelionpoint.protocol.isNestedTooDeeply
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -20,10 +22,11 @@
 /** A valid value, or every fault that was found. */
 internal typealias Checked<T> = Either<NonEmptyList<SettingsFault>, T>
 
+private const val WHOLE_DOCUMENT = "$"
+
 /** Reads and checks settings documents. */
 internal object SettingsReader {
     private const val MAX_FILE_BYTES = 1_048_576L
-    private const val WHOLE_DOCUMENT = "$"
 
     @OptIn(ExperimentalSerializationApi::class)
     private val json =
@@ -81,18 +84,20 @@
         nonEmptyListOf(SettingsFault(name, WHOLE_DOCUMENT, problem, "a readable UTF-8 file of at most $MAX_FILE_BYTES bytes")).left()
 
     private fun parse(file: String, text: String): Checked<JsonObject> {
+        if (isNestedTooDeeply(text, allowsComments = true)) return fault(file, "nested too deeply", "at most $MAX_JSON_NESTING levels")
         val element: JsonElement =
             try {
                 json.parseToJsonElement(text)
             } catch (failure: SerializationException) {
-                val problem = failure.message.orEmpty().lineSequence().first()
-                return nonEmptyListOf(SettingsFault(file, WHOLE_DOCUMENT, problem, "JSON with comments and trailing commas")).left()
+                return fault(file, failure.message.orEmpty().lineSequence().first(), "JSON with comments and trailing commas")
             }
-        val members = element as? JsonObject
-        return members?.right() ?: nonEmptyListOf(SettingsFault(file, WHOLE_DOCUMENT, "not an object", "one JSON object")).left()
+        return (element as? JsonObject)?.right() ?: fault(file, "not an object", "one JSON object")
     }
 }
 
+private fun fault(file: String, problem: String, accepted: String) =
+    nonEmptyListOf(SettingsFault(file, WHOLE_DOCUMENT, problem, accepted)).left()
+
 /** Reads the name of a VM, cluster, region, data centre, preset or team. Only with the [default] "" may it be empty. */
 internal fun Fields.name(key: String, default: String? = null): String =
     text(key, ConfigurationLimits.NAME_RULE, default) { (it.isEmpty() && default == "") || ConfigurationLimits.isName(it) }
--- a/src/test/kotlin/dandelionpoint/settings/SettingsReaderTest.kt
+++ b/src/test/kotlin/dandelionpoint/settings/SettingsReaderTest.kt
@@ -57,6 +57,18 @@
                 paths(""""http": { "port": 70000 }, "limits": { "bodyBytes": 99999999999 }""") shouldContainExactly
                     listOf("http.port", "limits.bodyBytes")
             }
+            // Guards against a StackOverflowError in the thread that reads a changed file or the body of an administration request.
+            it("reports a document that is nested too deeply, also behind a comment with a quote") {
+                listOf(
+                    "[".repeat(30_000),
+                    """{"a":""".repeat(30_000),
+                    "/*\"*/" + "[".repeat(30_000),
+                    "//\"\n" + "[".repeat(30_000),
+                ).forEach {
+                    val faults = SettingsReader.readEntry("entry.json", """{ $required, "x": $it }""").leftOrNull()?.toList().orEmpty()
+                    faults.single().problem shouldBe "nested too deeply"
+                }
+            }
             it("reports values that contradict each other") {
                 faults(""""ownership": { "leaseMs": 2000 }""").single().path shouldBe "ownership.renewMs"
                 faults(""""heartbeat": { "suspectMs": 3000 }""").single().path shouldBe "heartbeat.deadMs"
