Leave out a shard row that cannot be read

Callers would see (command entry): a VM owns no shard and refuses every submission with an id, while one row of the shards is unreadable. Cause: the watch loop was started again after the exception, but each reading ended at the same row, before any shard was claimed. Change: the row is logged with its key and version and left out. Its shard has no owner until the row is readable; the others are owned.

Failed before: ShardOwnershipTest, "a shard row that cannot be read / is left out, and the other shards are owned", all 5 contents; log line "loop 'watch' failed and is being restarted"

--- a/src/main/kotlin/dandelionpoint/coordination/ownership/RowWatcher.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/ownership/RowWatcher.kt
@@ -5,10 +5,13 @@
 import dandelionpoint.protocol.peer.VmIdentity
 import dandelionpoint.protocol.store.Row
 import dandelionpoint.protocol.store.Table
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 
+private val logger = KotlinLogging.logger {}
+
 /** Passes the rows to [shards] and requests claims and releases from their [ShardController]s. */
 internal class RowWatcher(private val shards: List<LocalShard>, private val table: Table, private val context: ShardContext) {
     /** Triggers a read of the rows before [OwnershipSettings.watchEveryMs] has passed. */
@@ -56,7 +59,11 @@
 
     private fun observe(row: Row, sentNs: Long) {
         val shard = row.key.removePrefix(OwnershipKeys.SHARDS).toIntOrNull()?.let { shards.getOrNull(it) } ?: return
-        shard.observe(ownershipJson.decodeFromString(row.value), row.version, sentNs, context.clock.nanos())
+        val content = runCatching { ownershipJson.decodeFromString<ShardRow>(row.value) }.getOrElse { failure ->
+            logger.warn { "shard ${shard.number}: row ${row.key} of version ${row.version} cannot be read and is left out: $failure" }
+            return
+        }
+        shard.observe(content, row.version, sentNs, context.clock.nanos())
         if (shard.isUnacknowledgedTakeover(shard.seen?.row ?: return, context.self)) shard.wakeController.trySend(Unit)
     }
 
--- a/src/test/kotlin/dandelionpoint/coordination/ownership/ShardOwnershipTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/ownership/ShardOwnershipTest.kt
@@ -2,6 +2,7 @@
 
 import dandelionpoint.protocol.ResultCode
 import dandelionpoint.protocol.SubmissionId
+import dandelionpoint.protocol.store.Row
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.ints.shouldBeInRange
@@ -33,6 +34,19 @@
             }
         }
 
+        describe("a shard row that cannot be read") {
+            // Guards against one row that keeps a VM from reading the others, so that it claims no shard.
+            listOf("not JSON", """{"epoch":1e400}""", "[".repeat(30_000), "{}", "").forEach { content ->
+                it("is left out, and the other shards are owned: ${content.take(20)}") {
+                    val cluster = SimulatedCluster()
+                    cluster.platform.rows["shard/1"] = Row("shard/1", content, version = 1, writeId = "other writer")
+                    val vm = cluster.boot("a")
+                    cluster.run(1_000)
+                    vm.ownership.ownedShards() shouldBe setOf(0, 2, 3)
+                }
+            }
+        }
+
         describe("a VM with more than its share of shards") {
             it("hands shards over to VMs with fewer until the shares are nearly equal") {
                 val cluster = SimulatedCluster(settings = OwnershipSettings())
