Leave out odd entries of the platform's list of VMs

Callers would see (command entry): with one odd entry in the list, new workers are never used and workers that have left stay in use; an entry with a port or host that no request can be sent to throws in the dispatcher. Cause: the list was decoded as a whole, so that one unknown state, number too large or missing field made the whole answer unreadable; ports, hosts and slots had no range.

--- a/src/main/kotlin/dandelionpoint/protocol/JsonNesting.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/JsonNesting.kt
@@ -23,6 +23,35 @@
     return depth > MAX_JSON_NESTING
 }
 
+/**
+ * The elements of the JSON array [text], each as text that is not checked further, so that elements which cannot be decoded can be left
+ * out. Null if [text] is not an array or an element's brackets do not match.
+ */
+internal fun jsonArrayElements(text: String): List<String>? {
+    val body = text.trim().takeIf { it.startsWith('[') && it.endsWith(']') }?.drop(1)?.dropLast(1) ?: return null
+    if (body.isBlank()) return emptyList()
+    val elements = mutableListOf<String>()
+    var depth = 0
+    var start = 0
+    var position = 0
+    while (position < body.length && depth >= 0) {
+        when (body[position]) {
+            '[', '{' -> depth++
+
+            ']', '}' -> depth--
+
+            '"' -> position = endOfString(body, position)
+
+            ',' -> if (depth == 0) {
+                elements += body.substring(start, position)
+                start = position + 1
+            }
+        }
+        position++
+    }
+    return if (depth == 0) elements + body.substring(start) else null
+}
+
 /** Position of the quote that ends the string which starts at [start]; the end of [text] if there is none. */
 private fun endOfString(text: String, start: Int): Int {
     var position = start + 1
