Test the frame decoder with changed and deeply nested frames

No fault was found: 20,000 changed frames of three message types and 100 KB of nested arrays, maps and tags cause no exception other than FrameException. The test that existed used random bytes, which rarely get past the first field.

--- a/src/test/kotlin/dandelionpoint/transport/peer/FrameCodecTest.kt
+++ b/src/test/kotlin/dandelionpoint/transport/peer/FrameCodecTest.kt
@@ -1,19 +1,32 @@
 package dandelionpoint.transport.peer
 
+import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.FleetJob
+import dandelionpoint.protocol.fleet.JobQueue
+import dandelionpoint.protocol.fleet.JobStep
+import dandelionpoint.protocol.peer.CellStatus
+import dandelionpoint.protocol.peer.FleetHeartbeat
+import dandelionpoint.protocol.peer.FreeCapacity
+import dandelionpoint.protocol.peer.JobOffer
 import dandelionpoint.protocol.peer.PeerFrame
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.ServingState
 import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import io.kotest.property.Arb
 import io.kotest.property.PropTestConfig
 import io.kotest.property.arbitrary.byte
 import io.kotest.property.arbitrary.byteArray
+import io.kotest.property.arbitrary.element
 import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.long
 import io.kotest.property.checkAll
 import io.ktor.utils.io.ByteReadChannel
 import java.nio.ByteBuffer
+import kotlin.random.Random
 
 /**
  * Guards against frames that harm the receiving VM: a length prefix that makes it allocate too much memory, and bytes for which the CBOR
@@ -38,5 +51,33 @@
                     runCatching { codec.decode(bytes) }.exceptionOrNull()?.let { (it is FrameException) shouldBe true }
                 }
             }
+            // Guards against lengths within a frame that are negative, too large or nested, where the decoder follows them.
+            it("with changed bytes or deep nesting causes no exception other than FrameException") {
+                val frames = MESSAGES.map { codec.encode(PeerFrame(7, message = it)) }
+                checkAll(PropTestConfig(seed = 13, iterations = 20_000), Arb.element(frames), Arb.long()) { frame, seed ->
+                    val changed = Random(seed).changeBytes(frame)
+                    withClue(changed.toHexString()) {
+                        runCatching { codec.decode(changed) }.exceptionOrNull()?.let { it.shouldBeInstanceOf<FrameException>() }
+                    }
+                }
+                listOf(0x81, 0x9f, 0xa1, 0xbf, 0xc1).forEach { start ->
+                    val nested = frames.first() + ByteArray(100_000) { start.toByte() }
+                    runCatching { codec.decode(nested) }.exceptionOrNull()?.let { it.shouldBeInstanceOf<FrameException>() }
+                    val onlyNested = ByteArray(100_000) { start.toByte() }
+                    runCatching { codec.decode(onlyNested) }.exceptionOrNull()?.let { it.shouldBeInstanceOf<FrameException>() }
+                }
+            }
         }
     })
+
+private val MESSAGES = listOf(
+    PeerMessage.Heartbeat(ServingState.SERVING, configVersion = 3, ejected = mapOf("w" to 5L)),
+    FleetHeartbeat(listOf(CellStatus("akl-a", 3, mapOf("p" to listOf(FreeCapacity(Demand(1_000), 1f))), mapOf("p" to 4)))),
+    JobOffer(FleetJob("0000000000000001", "s", listOf(JobStep(1, Demand(1), 60, listOf(0)))), JobQueue("q", "p"), 1, 2),
+)
+
+private fun Random.changeBytes(frame: ByteArray): ByteArray {
+    val changed = frame.copyOf()
+    repeat(nextInt(1, 4)) { changed[nextInt(changed.size)] = nextInt(256).toByte() }
+    return if (nextBoolean()) changed else changed.copyOf(nextInt(1, changed.size))
+}
