--- a/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
@@ -4,13 +4,19 @@
  */
 package dandelionpoint.platform
 
+import arrow.core.raise.nullable
 import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.EndedRow
 import dandelionpoint.protocol.fleet.FleetConfiguration
 import dandelionpoint.protocol.fleet.FleetJob
 import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.JobStep
+import dandelionpoint.protocol.fleet.LeaseReport
 import dandelionpoint.protocol.fleet.QueueRoute
+import dandelionpoint.protocol.fleet.RunEnd
+import dandelionpoint.protocol.fleet.RunningRow
 import dandelionpoint.protocol.fleet.TaskRef
+import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
@@ -18,6 +24,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.intOrNull
 import kotlinx.serialization.json.put
+import okhttp3.HttpUrl.Companion.toHttpUrlOrNull
 
 private const val READY = "ready"
 private const val DRAINING = "draining"
@@ -25,15 +32,42 @@
 /** Occurrence number of a job that is not repeated; it is the second part of the platform's task names. */
 private const val SINGLE_OCCURRENCE = 0
 
-/** Decodes a worker's registration under its [id]; null if it is incomplete or its state is neither ready nor draining. */
+/** Largest CPU of a worker or task, in thousandths of a core. */
+private const val MAX_CPU_MILLI = 4_096_000
+
+/** Largest memory of a worker or task, in MB. */
+private const val MAX_MEMORY_MB = 67_108_864
+private const val MAX_ACCELERATORS = 1_024
+
+/** Latest time that is accepted as the start of a worker or as its clock, in ms. */
+private const val MAX_TIME_MS = 253_402_300_799_999L
+
+/** Longest estimate of a task and longest latency target, in ms; with [MAX_JOB_TASKS] and [MAX_CPU_MILLI] a job's work fits a Long. */
+private const val MAX_DURATION_MS = 86_400_000L
+
+/** Limit of a text that becomes part of a key in the store, in bytes. */
+private const val MAX_KEY_BYTES = 200
+
+/** Ids that can be sent in a header. */
+private val WORKER_ID = Regex("[\\x21-\\x7e]{1,$MAX_KEY_BYTES}")
+
+/** A host name or IPv4 address, or an IPv6 address in brackets, and a port. */
+private val ADDRESS = Regex("([A-Za-z0-9._-]+|\\[[0-9A-Fa-f:.]+]):([0-9]{1,5})")
+
+/**
+ * Decodes a worker's registration under its [id]; null if it is incomplete, a value has another type or is out of range, no request can be
+ * sent to the address, or the state is neither ready nor draining.
+ */
 internal fun decodeWorker(id: String, bytes: ByteArray): WorkerEntry? {
-    val body = parseObject(bytes) ?: return null
+    val body = parseObject(bytes)?.takeIf { WORKER_ID.matches(id) && hasValidCounters(it) } ?: return null
     val state = body.text("state")?.takeIf { it == READY || it == DRAINING }
     val address = body.text("address")?.let { hostAndPort(it) }
-    val pool = body.text("service")
-    val dataCentre = body.text("zone")
-    val capacity = body.obj("capacity")?.let { decodeDemand(it) }
-    val isComplete = listOf(state, address, pool, dataCentre, capacity).all { it != null }
+    val pool = body.text("service")?.takeIf { isKeyText(it) }
+    val dataCentre = body.text("zone")?.takeIf { isKeyText(it) }
+    val capacity = body.obj("capacity")?.let { decodeDemand(it) }?.takeIf { it != NO_RESOURCES }
+    val labels = decodeLabels(body)
+    val startedAtMs = if ("born" in body) body.wholeNumber("born")?.takeIf { it in 0..MAX_TIME_MS } else 0L
+    val isComplete = listOf(state, address, pool, dataCentre, capacity, labels, startedAtMs).all { it != null }
     if (!isComplete) return null
     return WorkerEntry(
         id = id,
@@ -43,17 +77,40 @@
         dataCentre = checkNotNull(dataCentre),
         isDraining = state == DRAINING,
         capacity = checkNotNull(capacity),
-        labels = body.array("labels").mapNotNull { it.asText() }.toSet(),
-        startedAtMs = body.long("born") ?: 0L,
+        labels = checkNotNull(labels),
+        startedAtMs = checkNotNull(startedAtMs),
     )
 }
 
+/** Numbers of an entry that are not used here but show that the entry is a worker's. */
+private fun hasValidCounters(body: JsonObject): Boolean =
+    listOf("slots", "seq", "cold_left_ms").all { it !in body || (body.double(it) ?: -1.0) >= 0.0 }
+
+/** True if [text] can be a key of the store and a name in log lines. */
+private fun isKeyText(text: String): Boolean {
+    val bytes = text.encodeToByteArray()
+    return text.isNotBlank() && bytes.size <= MAX_KEY_BYTES && bytes.decodeToString() == text && text.none { it.isISOControl() }
+}
+
 private fun hostAndPort(address: String): Pair<String, Int>? {
-    val port = address.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..65_535 } ?: return null
-    return address.substringBeforeLast(':').takeIf { it.isNotEmpty() }?.let { it to port }
+    val (host, port) = ADDRESS.matchEntire(address)?.destructured ?: return null
+    return if ("http://$address/".toHttpUrlOrNull() == null || port.toInt() == 0) null else host to port.toInt()
 }
 
-private fun decodeDemand(body: JsonObject) = Demand(body.int("cpu") ?: 0, body.int("mem_mb") ?: 0, body.int("gpu") ?: 0)
+/** The labels of an entry; null if they are not an array of texts. */
+private fun decodeLabels(body: JsonObject): Set<String>? {
+    val labels = if ("labels" in body) body["labels"] as? JsonArray ?: return null else JsonArray(emptyList())
+    return labels.map { it.asText() ?: return null }.toSet()
+}
+
+private val NO_RESOURCES = Demand(0)
+
+/** The resources in [body]; null if a member is not a number in its range. A missing member is 0. */
+private fun decodeDemand(body: JsonObject): Demand? = Demand(
+    cpuMilli = body.intUpTo(MAX_CPU_MILLI, "cpu") ?: return null,
+    memoryMb = body.intUpTo(MAX_MEMORY_MB, "mem_mb") ?: return null,
+    accelerators = body.intUpTo(MAX_ACCELERATORS, "gpu") ?: return null,
+)
 
 /** Decodes the operator's configuration; null if it is not a JSON object with a version. Routes that are incomplete are left out. */
 internal fun decodeConfiguration(bytes: ByteArray): FleetConfiguration? {
@@ -68,12 +125,15 @@
         pool = body.text("service").orEmpty(),
         priority = body.int("priority") ?: 0,
         maxAttempts = (body.int("max_attempts") ?: 1).coerceAtLeast(1),
-        stretch = body.double("stretch") ?: 1.0,
-        latencyTargetMs = body.long("latency_target_ms") ?: 0L,
+        stretch = (body.double("stretch") ?: 1.0).coerceIn(0.0, MAX_STRETCH),
+        latencyTargetMs = (body.long("latency_target_ms") ?: 0L).coerceIn(0L, MAX_DURATION_MS),
     )
     return QueueRoute(body.text("host") ?: return null, body.text("path_prefix") ?: return null, queue)
 }
 
+/** Largest factor by which a job may take longer than its estimate. */
+private const val MAX_STRETCH = 1_000_000.0
+
 /** A decoded submission of a client. */
 internal sealed interface SubmittedBody {
     data class BestEffort(val job: FleetJob) : SubmittedBody
@@ -96,6 +156,8 @@
     return when {
         steps.isEmpty() -> SubmittedBody.Malformed("the job has no step")
 
+        steps.sumOf { it.count } > MAX_JOB_TASKS -> SubmittedBody.Malformed("the job has more than $MAX_JOB_TASKS tasks")
+
         steps.withIndex().any { (index, step) -> step.after.any { it !in 0 until index } } ->
             SubmittedBody.Malformed("a step waits for itself or a later one")
 
@@ -109,16 +171,16 @@
     }
 }
 
-private fun decodeStep(body: JsonObject?): JobStep? {
-    if (body == null) return null
-    return JobStep(
-        count = body.int("count")?.takeIf { it in 1..MAX_TASKS } ?: return null,
-        demand = decodeDemand(body),
-        estimateMs = body.long("est_runtime_ms") ?: 0L,
-        after = body.array("after").map { (it as? JsonPrimitive)?.intOrNull ?: return null },
-        requiredLabel = body.text("required_label")?.takeIf { it.isNotEmpty() },
-        rack = body.text("affinity")?.takeIf { it.isNotEmpty() },
-        maxPerWorker = body.int("max_per_server") ?: 0,
+private fun decodeStep(body: JsonObject?): JobStep? = nullable {
+    val members = body.bind()
+    JobStep(
+        count = members.int("count")?.takeIf { it in 1..MAX_TASKS }.bind(),
+        demand = decodeDemand(members).bind(),
+        estimateMs = members.longUpTo(MAX_DURATION_MS, "est_runtime_ms").bind(),
+        after = members.array("after").map { (it as? JsonPrimitive)?.intOrNull.bind() },
+        requiredLabel = members.text("required_label")?.takeIf { it.isNotEmpty() },
+        rack = members.text("affinity")?.takeIf { it.isNotEmpty() },
+        maxPerWorker = members.intUpTo(Int.MAX_VALUE, "max_per_server").bind(),
     )
 }
 
@@ -144,6 +206,9 @@
 /** Largest number of tasks of one step. */
 private const val MAX_TASKS = 1_200
 
+/** Largest number of tasks of one job: each takes memory while the job is in progress. */
+private const val MAX_JOB_TASKS = 12_000
+
 /** The platform's name of a task. */
 internal fun TaskRef.wireName(): String = "$jobId.$SINGLE_OCCURRENCE.$step.$index"
 
@@ -153,3 +218,40 @@
     if (parts.size != 4) return null
     return TaskRef(parts[0], parts[2].toIntOrNull() ?: return null, parts[3].toIntOrNull() ?: return null)
 }
+
+/** The worker's clock in an answer, in ms; null if it is missing or out of range. */
+internal fun JsonObject.clockMs(): Long? = long("clock_ms")?.takeIf { it in 0..MAX_TIME_MS }
+
+/**
+ * Decodes a worker's run list; null if it is not a JSON object with a clock, or the clock or the start time is out of range. Rows that
+ * cannot be read are left out.
+ */
+internal fun decodeRunList(bytes: ByteArray): LeaseReport? {
+    val body = parseObject(bytes) ?: return null
+    val running = body.array("running").mapNotNull { runningRow(it as? JsonArray) }
+    val ended = body.array("ended").mapNotNull { endedRow(it as? JsonArray) }
+    return LeaseReport(body.clockMs() ?: return null, body.longUpTo(MAX_TIME_MS, "born") ?: return null, running, ended)
+}
+
+/** A row is [task, run, saved state, percent]. */
+private fun runningRow(row: JsonArray?): RunningRow? {
+    val run = row?.run(taskAt = 0) ?: return null
+    return RunningRow(run, row.getOrNull(3)?.asLong()?.coerceIn(0, 100)?.toInt() ?: 0)
+}
+
+/** A row is [number, task, run, how it ended, saved state]. */
+private fun endedRow(row: JsonArray?): EndedRow? {
+    val run = row?.run(taskAt = 1) ?: return null
+    val end = when (row.getOrNull(3)?.asText()) {
+        "done" -> RunEnd.DONE
+        "failed" -> RunEnd.FAILED
+        else -> RunEnd.LOST
+    }
+    return EndedRow(row.getOrNull(0)?.asLong()?.takeIf { it > 0 } ?: return null, run, end)
+}
+
+private fun JsonArray.run(taskAt: Int): TaskRun? {
+    val task = getOrNull(taskAt)?.asText()?.let { decodeTask(it) } ?: return null
+    val run = getOrNull(taskAt + 1)?.asLong()?.takeIf { it in 1..Int.MAX_VALUE } ?: return null
+    return TaskRun(task, run.toInt())
+}
--- a/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
@@ -38,6 +38,9 @@
 
     /** Each request is read no further until this is complete. */
     var isReadable: CompletableFuture<Unit> = CompletableFuture.completedFuture(Unit)
+
+    @Volatile
+    var lastWaitMs = -1L
     override val isReady = true
     override val isStopping = false
     override val hasConfiguration = true
@@ -49,6 +52,7 @@
 
     override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long): JobOutcome {
         started.incrementAndGet()
+        lastWaitMs = waitMs
         return outcome.await()
     }
 
@@ -62,15 +66,16 @@
     override fun waitingJobs(queue: String) = 12
 }
 
+/** The body of a job with one task. */
+private val JOB = encodeJob(FleetJob(ID, "", listOf(JobStep(1, Demand(1))))).decodeToString()
+
 private class Client(port: Int) : AutoCloseable {
     private val socket = Socket(LOOPBACK, port).apply { soTimeout = 5_000 }
 
-    fun post(body: String = encodeJob(FleetJob(ID, "", listOf(JobStep(1, Demand(1))))).decodeToString()) = send("POST", "/q/$ID", body)
+    fun post(body: String = JOB, deadlineMs: String = "1500") = send("POST", "/q/$ID", body, deadlineMs)
 
-    private fun encodeJob(job: FleetJob) = dandelionpoint.platform.encodeJob(job)
-
-    fun send(method: String, path: String, body: String = "") {
-        val head = "$method $path HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\nDeadline-Remaining-Ms: 1500\r\n\r\n"
+    fun send(method: String, path: String, body: String = "", deadlineMs: String = "1500") {
+        val head = "$method $path HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\nDeadline-Remaining-Ms: $deadlineMs\r\n\r\n"
         socket.getOutputStream().apply { write((head + body).encodeToByteArray()) }.flush()
     }
 
@@ -168,6 +173,31 @@
                 }
             }
 
+            // Guards against a deadline that overflows to a time in the past, so that the job is refused.
+            it("that waits for a time out of range gets the longest or no wait") {
+                val service = ScriptedService(CompletableDeferred(JobOutcome.Completed))
+                withServer(service) { _, port ->
+                    val waits = mapOf("9223372036854775807" to 600_000L, "-9223372036854775808" to 0L, "99999999999999999999" to 10_000L)
+                    waits.forEach { (header, expected) ->
+                        Client(port).use { client ->
+                            client.post(deadlineMs = header)
+                            client.read() shouldStartWith "HTTP/1.1 200"
+                            service.lastWaitMs shouldBe expected
+                        }
+                    }
+                }
+            }
+
+            // Guards against a StackOverflowError that a body causes in the thread of the request.
+            it("that sends a body which is nested too deeply gets status 400") {
+                withServer(ScriptedService()) { _, port ->
+                    Client(port).use { client ->
+                        client.post("[".repeat(100_000))
+                        client.read() shouldStartWith "HTTP/1.1 400"
+                    }
+                }
+            }
+
             it("that sends a malformed body, an unknown path or an unknown job gets the matching status") {
                 withServer(ScriptedService()) { _, port ->
                     Client(port).use { client ->
