Count leases from a lower bound of the worker's clock

What callers would see: a task started by an order that its worker carried out late, while it runs elsewhere already.

Cause: the clock of a worker was estimated from its last answer without drift. After 60 s without runs, the estimate was 1.2 s ahead of a clock that runs 2 % slow: an order was accepted up to 2.2 s after it was sent, whereas the owner takes its lease for expired after 1.08 s.

Change: 2 % of the age of the reading is subtracted. A clock read more than 10 s ago is read again before the first order; the order waits for that answer. A worker in use is read at least each 250 ms, so no further calls are made to it. Ruled out: polling idle workers at an interval, which would cost calls without need.

Before: CellControllerTest ... gets an order with a lease that is no longer than allowed ... 2193 should be <= 1000 WorkerLeaseTest ... that was read long ago ... 6000 should be <= 5900 StartOnceTest ... clocks of workers run slow ... "850: an order to w0 has a lease until 89248, its clock is 88241" After: these three pass.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -32,8 +32,15 @@
     data object Fenced : CellEvent
 }
 
-/** A start order that the controller has to send to [worker], with the lease [leaseUntilMs] on the worker's clock. */
-internal data class Placement(val worker: WorkerEntry, val order: RunOrder, val leaseUntilMs: Long)
+/**
+ * A start order that the controller has to send to [worker], with the lease [leaseUntilMs] on the worker's clock. If [isClockStale], the worker's run list has to be polled and the lease set by [Cell.withFreshLease] before.
+ */
+internal data class Placement(
+    val worker: WorkerEntry,
+    val order: RunOrder,
+    val leaseUntilMs: Long,
+    val isClockStale: Boolean,
+)
 
 /**
  * The cell [name], owned under the fencing token [token]. [heardAt] is the time of the last heartbeat from the VM with an incarnation, null
@@ -116,8 +123,23 @@
             ?: return@synchronized null
         val run = TrackedRun(order, now)
         worker.runs[order.task] = run
+        leasedPlacement(worker, order, now)
+    }
+
+    /**
+     * The lease in an order ends at the latest when [tick] takes it for expired, so that an order which is carried out after that is
+     * refused: it is counted from a lower bound of the worker's clock.
+     */
+    private fun leasedPlacement(worker: TrackedWorker, order: RunOrder, now: Long): Placement {
         worker.extendLease(now)
-        Placement(worker.entry, order, worker.workerClock(now) + rules.leaseMs)
+        return Placement(worker.entry, order, worker.workerClock(now) + rules.leaseMs, worker.isClockStale(now))
+    }
+
+    /** [placement] with a lease from the clock that a poll has just read, or null if there is no fresh reading or no such run any more. */
+    fun withFreshLease(placement: Placement, now: Long): Placement? = synchronized(lock) {
+        val worker = workers[placement.worker.id]?.takeIf { it.isUsable() && !it.isClockStale(now) } ?: return@synchronized null
+        val run = worker.runs[placement.order.task]?.takeIf { it.order.run == placement.order.run } ?: return@synchronized null
+        leasedPlacement(worker, run.order, now)
     }
 
     private fun cost(worker: TrackedWorker, order: RunOrder): Long {
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/LeasePlanner.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/LeasePlanner.kt
@@ -30,6 +30,9 @@
             // A call to an unresponsive worker does not renew the lease, so that its runs end at a known time.
             !worker.isResponsive -> LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs = 0)
 
+            // The answer contains the clock from which the next call's lease is counted.
+            worker.runs.isNotEmpty() && worker.isClockStale(now) -> LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs = 0)
+
             worker.runs.isNotEmpty() -> {
                 worker.extendLease(now)
                 LeaseCall(token, worker.handledEnd, worker.workerClock(now) + rules.leaseMs, waitMs(worker, now))
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -93,8 +93,11 @@
         clockRecordedAt = now
     }
 
-    /** Lower bound of the worker's clock at [now], but for its drift since the last answer. */
-    fun workerClock(now: Long): Long = clockMs + (now - clockRecordedAt)
+    /** Lower bound of the worker's clock at [now]: it may have run slow since the last answer. */
+    fun workerClock(now: Long): Long = clockMs + (now - clockRecordedAt) * (PERCENT - CLOCK_DRIFT_PERCENT) / PERCENT
+
+    /** True if the clock was read so long ago that its lower bound would make leases much shorter. */
+    fun isClockStale(now: Long): Boolean = now - clockRecordedAt > rules.maxClockAgeMs
 
     fun used(): Demand = runs.values.fold(Demand(0)) { sum, run -> sum + run.order.demand }
 
@@ -155,5 +158,9 @@
     private companion object {
         /** A repeated run of a task that makes no progress is stopped this long after its declared run time, in ms. */
         const val NO_PROGRESS_MS = 600L
+        const val PERCENT = 100
+
+        /** The clock of a worker runs at most this much slow. */
+        const val CLOCK_DRIFT_PERCENT = 2
     }
 }
--- a/src/main/kotlin/dandelionpoint/fleet/CellController.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellController.kt
@@ -76,20 +76,24 @@
     }
 
     private suspend fun start(placement: Placement) {
-        val order = StartOrder(placement.order.run, placement.order.payload, placement.leaseUntilMs, cell.token)
+        val fresh = if (placement.isClockStale) withFreshLease(placement) else placement
         wakeSignals[placement.worker.id]?.trySend(Unit)
-        val outcome = answerOf(placement, order)
+        val outcome = if (fresh == null) StartOutcome.NotSent("the worker's clock could not be read") else answerOf(fresh)
         if (outcome !is StartOutcome.Started) {
-            log.info {
-                "event=start_not_confirmed task=${order.run.task} run=${order.run.run} worker=${placement.worker.id} outcome=$outcome"
-            }
+            val run = placement.order.run
+            log.info { "event=start_not_confirmed task=${run.task} run=${run.run} worker=${placement.worker.id} outcome=$outcome" }
         }
         handle(cell.onStart(placement, outcome, clock.millis()))
         if (outcome is StartOutcome.Unknown) pollRuns(placement.worker.id)
     }
 
-    /** Sends [order]. Once the answer is overdue, the worker is asked for its list of runs; an answer that arrives later still counts. */
-    private suspend fun answerOf(placement: Placement, order: StartOrder): StartOutcome = coroutineScope {
+    /** Polls the worker, whose clock was last read long ago. Returns null if it does not answer. */
+    private suspend fun withFreshLease(placement: Placement): Placement? =
+        if (pollRuns(placement.worker.id)) cell.withFreshLease(placement, clock.millis()) else null
+
+    /** Sends the order of [placement]. Once the answer is overdue, the worker is asked for its list of runs; an answer that arrives later still counts. */
+    private suspend fun answerOf(placement: Placement): StartOutcome = coroutineScope {
+        val order = StartOrder(placement.order.run, placement.order.payload, placement.leaseUntilMs, cell.token)
         val answer = async { timedStart(placement.worker, order) }
         val timelyAnswer = if (cell.responseTimes.areFast) withTimeoutOrNull(rules.overdueMs) { answer.await() } else answer.await()
         timelyAnswer ?: run {
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
@@ -224,6 +224,14 @@
     }
 
     private fun start(placement: Placement) {
+        if (!placement.isClockStale) return send(placement)
+        val id = placement.worker.id
+        cell.planPoll(id, now)?.let { callWorker(id, it) }
+        val fresh = cell.withFreshLease(placement, now)
+        if (fresh == null) handleCellEvents(cell.onStart(placement, StartOutcome.NotSent("no clock"), now)) else send(fresh)
+    }
+
+    private fun send(placement: Placement) {
         val target = workers.getValue(placement.worker.id)
         val outcome = when {
             chance(faults.lostCall) -> StartOutcome.Unknown("lost")
