Ignore the clock and run lists of a worker's earlier incarnations

What callers would see: as before, a task started by a late order while it runs elsewhere.

Cause: after a restart had been seen, the answer to a start by the earlier incarnation still set the clock, which begins anew: orders then had a lease far ahead of the worker's clock and were accepted at any later time. If the list of workers showed the restart first, a late run list of the earlier incarnation made the worker usable again, with the same effect.

Change: a start's answer sets the clock only for the incarnation that the order was made for; a restart in the list of workers sets the incarnation, so that older run lists are ignored and nothing starts before a run list of the new one. Ruled out: run lists as such, which carry the incarnation and were checked already.

Before: WorkerLeaseTest ... answer of an earlier incarnation ... 51001 should be <= 1011 WorkerLeaseTest ... is unknown after the list of workers showed a restart ... should be null, but was Placement(...) After: both pass, StartOnceTest with restarts and clocks that begin anew as well.

Not covered: an order that a restarted worker receives before any sign of the restart, and carries out seconds late.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -33,12 +33,14 @@
 }
 
 /**
- * A start order that the controller has to send to [worker], with the lease [leaseUntilMs] on the worker's clock. If [isClockStale], the worker's run list has to be polled and the lease set by [Cell.withFreshLease] before.
+ * A start order that the controller has to send to [worker], with the lease [leaseUntilMs] on the clock of the incarnation that started at
+ * [incarnationMs]. If [isClockStale], the worker's run list has to be polled and the lease set by [Cell.withFreshLease] before.
  */
 internal data class Placement(
     val worker: WorkerEntry,
     val order: RunOrder,
     val leaseUntilMs: Long,
+    val incarnationMs: Long,
     val isClockStale: Boolean,
 )
 
@@ -66,7 +68,7 @@
         entries.forEach { entry ->
             val worker = workers.getOrPut(entry.id) { TrackedWorker(entry, rules).also { it.isReleased = entry.id !in awaitingRelease } }
             val hasRestarted = entry.startedAtMs != 0L && worker.startedAtMs != 0L && entry.startedAtMs > worker.startedAtMs
-            if (hasRestarted) worker.forgetRunList()
+            if (hasRestarted) worker.onRestart(entry.startedAtMs)
             worker.entry = entry
         }
         val listed = entries.map { it.id }.toSet()
@@ -132,7 +134,7 @@
      */
     private fun leasedPlacement(worker: TrackedWorker, order: RunOrder, now: Long): Placement {
         worker.extendLease(now)
-        return Placement(worker.entry, order, worker.workerClock(now) + rules.leaseMs, worker.isClockStale(now))
+        return Placement(worker.entry, order, worker.workerClock(now) + rules.leaseMs, worker.startedAtMs, worker.isClockStale(now))
     }
 
     /** [placement] with a lease from the clock that a poll has just read, or null if there is no fresh reading or no such run any more. */
@@ -154,7 +156,7 @@
         val run = worker.runs[placement.order.task]?.takeIf { it.order.run == placement.order.run } ?: return@synchronized emptyList()
         when (outcome) {
             is StartOutcome.Started -> {
-                worker.recordClock(outcome.clockMs, now)
+                if (placement.incarnationMs == worker.startedAtMs) worker.recordClock(outcome.clockMs, now)
                 run.recordRunning(now)
                 emptyList()
             }
