End no runs by the answer of a worker's earlier address

What callers would see: two runs of one task, on a worker that restarted at another address and on a further one.

Cause: the answer that an address belongs to another incarnation ended all runs that were tracked for the worker, also those that it was ordered to run at its new address while that answer was on its way.

Change: the answer counts only if the call went to the worker's current address, and ends only runs that were ordered before the call. Ruled out: other conclusions that a run is lost. tick ends runs only after the lease of an unresponsive worker has expired on a lower bound of its clock; a run list ends a run that was started, or whose stop was confirmed, only if it was requested later than that; after a restart, what the new incarnation does not list has ended with the earlier one.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -268,13 +268,17 @@
         synchronized(lock) { workers[plan.worker.id]?.isResponsive = false }
     }
 
-    /** The worker's address now belongs to another worker or incarnation, so its runs are lost. */
+    /**
+     * The address that the call of [plan] was sent to belongs to another worker or incarnation. The runs that were ordered there before are
+     * lost. The answer says nothing about a worker that has moved to another address meanwhile.
+     */
     fun onOtherIncarnation(plan: LeasePlan, now: Long): List<CellEvent> = synchronized(lock) {
         val worker = workers[plan.worker.id] ?: return@synchronized emptyList()
+        if (!worker.hasAddressOf(plan.worker)) return@synchronized emptyList()
         worker.isResponsive = false
         worker.health.eject(now)
         worker.forgetRunList()
-        worker.runs.values.toList().map { end(worker, it, RunEnd.LOST) }
+        worker.runs.values.filter { it.orderedAt <= plan.sentAt }.map { end(worker, it, RunEnd.LOST) }
     }
 
     /** Stops the runs that [matches] selects. */
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -103,6 +103,9 @@
 
     fun free(): Demand = entry.capacity - used()
 
+    /** True if [other] is reached at this worker's current address. */
+    fun hasAddressOf(other: WorkerEntry): Boolean = entry.host == other.host && entry.port == other.port
+
     /** True if new runs may be started on this worker. */
     fun isUsable(): Boolean = hasRunList && isReleased && isResponsive && !entry.isDraining
 
