Repeat stops until they are confirmed, and limit the lease meanwhile

Cause: a stop was sent once, and again only when a run list showed the run, about each 250 ms or never for a run that was not listed; each lease call renewed the lease for it. With half of the stops lost or late, a run went on for seconds.

Change: the cell keeps the time of the request and repeats the stop each 100 ms until it is confirmed. While it is unconfirmed, the lease of the worker ends at most 100 ms plus one lease after the request: 1.123 s with a clock that is 2 % slow, within the client's 1.3 s. No run is started under less than half a lease. If a run list that was requested more than 50 ms after the confirmation still shows the run, the stop is taken for unconfirmed again. A stop that is answered is sent once, as before; run lists no longer cause a second one. Ruled out: a bound in the controller, which could not limit the leases of start orders.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -133,8 +133,9 @@
      * refused: it is counted from a lower bound of the worker's clock.
      */
     private fun leasedPlacement(worker: TrackedWorker, order: RunOrder, now: Long): Placement {
-        worker.extendLease(now)
-        return Placement(worker.entry, order, worker.workerClock(now) + rules.leaseMs, worker.startedAtMs, worker.isClockStale(now))
+        val lengthMs = worker.leaseLength(now)
+        worker.extendLease(now, lengthMs)
+        return Placement(worker.entry, order, worker.workerClock(now) + lengthMs, worker.startedAtMs, worker.isClockStale(now))
     }
 
     /** [placement] with a lease from the clock that a poll has just read, or null if there is no fresh reading or no such run any more. */
@@ -210,7 +211,7 @@
         worker.isResponsive = true
         worker.acknowledgedEnd = max(worker.acknowledgedEnd, plan.call.seenEnd)
         report.ended.sortedBy { it.number }.forEach { events += applyEnd(worker, it, now) }
-        report.running.forEach { events += applyRunning(worker, it, now) }
+        report.running.forEach { events += applyRunning(worker, it, plan.sentAt, now) }
         events += handleMissingRuns(worker, plan, report, now)
         worker.hasRunList = true
         events
@@ -228,26 +229,36 @@
         return listOf(end(worker, run, row.end))
     }
 
-    private fun applyRunning(worker: TrackedWorker, row: RunningRow, now: Long): List<CellEvent> {
+    private fun applyRunning(worker: TrackedWorker, row: RunningRow, listRequestedAt: Long, now: Long): List<CellEvent> {
         val run = worker.runs[row.run.task]?.takeIf { it.order.run == row.run }
-        run?.recordRunning(now)
-        if (run == null || run.state == RunState.STOPPING) return listOf(CellEvent.Stop(worker.entry, row.run))
-        if (!worker.isStalled(run, row.percent, now)) return emptyList()
-        worker.health.eject(now)
-        run.state = RunState.STOPPING
-        return listOf(CellEvent.Stop(worker.entry, row.run))
+            ?: return listOf(CellEvent.Stop(worker.entry, row.run))
+        run.recordRunning(now)
+        run.stop?.onListed(listRequestedAt)
+        if (run.stop == null) {
+            if (!worker.isStalled(run, row.percent, now)) return emptyList()
+            worker.health.eject(now)
+        }
+        return stop(worker, run, now)
+    }
+
+    /** Requests the stop of [run], or repeats the request if it is due. */
+    private fun stop(worker: TrackedWorker, run: TrackedRun, now: Long): List<CellEvent> {
+        val earlier = run.stop
+        if (earlier?.sendAgain(now) == false) return emptyList()
+        if (earlier == null) run.requestStop(StopRequest(now, rules))
+        return listOf(CellEvent.Stop(worker.entry, run.order.run))
     }
 
     /** Handles runs that [report] should list but does not: stops those that may still start, and ends the others as lost. */
     private fun handleMissingRuns(worker: TrackedWorker, plan: LeasePlan, report: LeaseReport, now: Long): List<CellEvent> {
         val present = report.running.map { it.run }.toSet()
-        return worker.runs.values.filter { it.order.run !in present && it.listedAfter < plan.sentAt }.map { run ->
+        return worker.runs.values.filter { it.order.run !in present && it.listedAfter < plan.sentAt }.flatMap { run ->
             if (!run.hasStarted && !run.isStopConfirmed) {
                 // The start order may still reach the worker.
-                CellEvent.Stop(worker.entry, run.order.run)
+                stop(worker, run, now)
             } else {
                 worker.health.eject(now, UNREACHABLE_MS)
-                end(worker, run, RunEnd.LOST)
+                listOf(end(worker, run, RunEnd.LOST))
             }
         }
     }
@@ -284,20 +295,23 @@
     /** Stops the runs that [matches] selects. */
     fun stopRuns(now: Long, matches: (RunOrder) -> Boolean): List<CellEvent> = synchronized(lock) {
         workers.values.flatMap { worker ->
-            worker.runs.values.filter { matches(it.order) && it.state != RunState.STOPPING }.map {
-                it.state = RunState.STOPPING
-                CellEvent.Stop(worker.entry, it.order.run)
-            }
+            worker.runs.values.filter { matches(it.order) && it.stop == null }.flatMap { stop(worker, it, now) }
         }
     }
 
-    /** Ends the runs of unresponsive workers whose lease has expired, with the clock drift and margin allowed for. */
-    fun tick(now: Long): List<CellEvent> = synchronized(lock) {
+    /** Repeats unconfirmed stops, and ends the runs of unresponsive workers whose lease has expired. */
+    fun tick(now: Long): List<CellEvent> = synchronized(lock) { endExpired(now) + repeatStops(now) }
+
+    private fun repeatStops(now: Long): List<CellEvent> = workers.values.flatMap { worker ->
+        worker.runs.values.filter { it.stop?.sendAgain(now) == true }.map { CellEvent.Stop(worker.entry, it.order.run) }
+    }
+
+    /** The lease has certainly expired when its length, the clock drift and a margin have passed since the last renewal was sent. */
+    private fun endExpired(now: Long): List<CellEvent> =
         workers.values.filter { it.runs.isNotEmpty() && now > it.leaseEndsAt && !it.isResponsive }.flatMap { worker ->
             worker.health.eject(now)
             worker.runs.values.toList().map { end(worker, it, RunEnd.LOST) }
         }
-    }
 
     /** Ends all runs as lost without calls to the workers, which now belong to another owner. */
     fun abandon(): List<CellEvent> = synchronized(lock) {
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/FleetRules.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/FleetRules.kt
@@ -19,6 +19,7 @@
  * @property peerUnresponsiveMs a peer from which no heartbeat was received for this long is lost
  * @property stopRetryMs a stop that a worker has not confirmed is sent again after this time
  * @property unconfirmedStopMs a run whose stop stays unconfirmed is kept in its lease for at most this long after the stop was requested
+ * @property stopTimeoutMs a worker ends a run at most this long after it has confirmed the stop
  * @property maxClockAgeMs a worker's clock that was read longer ago than this is read again before a run is started there
  * @property claimStaleMs a cell may be taken over if its owner has not renewed the claim for this long
  * @property expiredEntryGraceMs a worker entry that expired while the store was unavailable may reappear for this long after the store is
@@ -40,10 +41,17 @@
     val peerUnresponsiveMs: Long = 700,
     val stopRetryMs: Long = 100,
     val unconfirmedStopMs: Long = 100,
+    val stopTimeoutMs: Long = 50,
     val maxClockAgeMs: Long = 10_000,
     val claimStaleMs: Long = 1_300,
     val expiredEntryGraceMs: Long = 2_300,
 ) {
     /** Longest duration of a lease on this VM's clock, with [leaseMarginMs] added: the worker's clock may run 2 % slow. */
-    val longestLeaseMs: Long get() = leaseMs + leaseMs / 50 + leaseMarginMs
+    val longestLeaseMs: Long get() = longestLeaseMs(leaseMs)
+
+    /** The same for a lease of [lengthMs]. */
+    fun longestLeaseMs(lengthMs: Long): Long = lengthMs + lengthMs / 50 + leaseMarginMs
+
+    /** No run is started under a shorter lease, since it could end before the next renewal. */
+    val shortestFirstLeaseMs: Long get() = leaseMs / 2
 }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/LeasePlanner.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/LeasePlanner.kt
@@ -33,10 +33,7 @@
             // The answer contains the clock from which the next call's lease is counted.
             worker.runs.isNotEmpty() && worker.isClockStale(now) -> LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs = 0)
 
-            worker.runs.isNotEmpty() -> {
-                worker.extendLease(now)
-                LeaseCall(token, worker.handledEnd, worker.workerClock(now) + rules.leaseMs, waitMs(worker, now))
-            }
+            worker.runs.isNotEmpty() -> LeaseCall(token, worker.handledEnd, renewedLease(worker, now), waitMs(worker, now))
 
             worker.handledEnd > worker.acknowledgedEnd -> LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs = 0)
 
@@ -45,6 +42,14 @@
         return LeasePlan(worker.entry, call, now)
     }
 
+    /** End of the renewed lease on the worker's clock, or null if no renewal is allowed. */
+    private fun renewedLease(worker: TrackedWorker, now: Long): Long? {
+        val lengthMs = worker.leaseLength(now)
+        if (lengthMs <= 0) return null
+        worker.extendLease(now, lengthMs)
+        return worker.workerClock(now) + lengthMs
+    }
+
     private fun waitMs(worker: TrackedWorker, now: Long): Int = when {
         worker.runs.values.any { it.state == RunState.UNCERTAIN } -> 0
         now - callLostAt < rules.degradedPeriodMs && areAnswersFast() -> rules.degradedRenewMs
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -8,6 +8,7 @@
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.WorkerEntry
 import kotlin.math.max
+import kotlin.math.min
 
 /** State of a run on a worker. */
 internal enum class RunState {
@@ -22,6 +23,33 @@
     STOPPING,
 }
 
+/** A request to stop a run, made at [requestedAt]. It is sent at once, and again until the worker confirms it. */
+internal class StopRequest(private val requestedAt: Long, private val rules: FleetRules) {
+    private var sentAt = requestedAt
+    private var confirmedAt: Long? = null
+
+    val isConfirmed: Boolean get() = confirmedAt != null
+
+    /** True if the request has to be sent again at [now], which is then taken as done. */
+    fun sendAgain(now: Long): Boolean {
+        if (isConfirmed || now - sentAt < rules.stopRetryMs) return false
+        sentAt = now
+        return true
+    }
+
+    fun recordConfirmed(now: Long) {
+        confirmedAt = now
+    }
+
+    /** A run list that was requested at [listRequestedAt] still shows the run: the confirmation had no effect. */
+    fun onListed(listRequestedAt: Long) {
+        if (confirmedAt?.let { listRequestedAt > it + rules.stopTimeoutMs } == true) confirmedAt = null
+    }
+
+    /** While the stop is unconfirmed, the run ends with its worker's lease no later than this. */
+    val leaseLimit: Long get() = if (isConfirmed) Long.MAX_VALUE else requestedAt + rules.unconfirmedStopMs + rules.leaseMs
+}
+
 /** A run on a worker. [orderedAt] and [listedAfter] are in ms on the VM's monotonic clock. */
 internal class TrackedRun(val order: RunOrder, val orderedAt: Long) {
     var state = RunState.ORDERED
@@ -33,10 +61,19 @@
     var hasStarted = false
         private set
 
-    /** True once the worker has confirmed the stop. If it has not started the run by then, it never will. */
-    var isStopConfirmed = false
+    /** The request to stop this run, null if there was none. */
+    var stop: StopRequest? = null
         private set
 
+    /** True once the worker has confirmed the stop. If it has not started the run by then, it never will. */
+    val isStopConfirmed: Boolean get() = stop?.isConfirmed == true
+
+    /** Requests the stop of this run. */
+    fun requestStop(request: StopRequest) {
+        state = RunState.STOPPING
+        stop = request
+    }
+
     /** Records that the worker has the run, according to its answer or run list received at [now]. */
     fun recordRunning(now: Long) {
         if (!hasStarted) listedAfter = now
@@ -46,8 +83,7 @@
 
     /** Records that the worker confirmed the stop at [now]. The run still occupies capacity until a run list shows that it has ended. */
     fun recordStopConfirmed(now: Long) {
-        state = RunState.STOPPING
-        isStopConfirmed = true
+        stop?.recordConfirmed(now)
         listedAfter = now
     }
 }
@@ -82,9 +118,18 @@
     private var clockMs = 0L
     private var clockRecordedAt = 0L
 
-    /** Records that a call sent at [now] renews the lease. */
-    fun extendLease(now: Long) {
-        leaseEndsAt = max(leaseEndsAt, now + rules.longestLeaseMs)
+    /**
+     * The longest lease, in ms, that a call sent at [now] may give to this worker. The lease ends at the latest
+     * [FleetRules.unconfirmedStopMs] plus the length of a lease after the request of a stop that is still unconfirmed.
+     */
+    fun leaseLength(now: Long): Long = min(
+        rules.leaseMs,
+        runs.values.minOfOrNull { it.stop?.leaseLimit ?: Long.MAX_VALUE }?.minus(now) ?: rules.leaseMs,
+    )
+
+    /** Records that a call sent at [now] renews the lease for [lengthMs]. */
+    fun extendLease(now: Long, lengthMs: Long) {
+        leaseEndsAt = max(leaseEndsAt, now + rules.longestLeaseMs(lengthMs))
     }
 
     /** Records the worker's clock from an answer received at [now]. */
@@ -122,6 +167,7 @@
     /** True if [order] can be started on this worker at [now]. */
     fun fits(order: RunOrder, now: Long): Boolean = couldRun(order, now) &&
         runs.size < health.runLimit(now) &&
+        leaseLength(now) >= rules.shortestFirstLeaseMs &&
         order.task !in runs &&
         (order.maxPerWorker == 0 || runs.values.count { it.order.sharesStepWith(order) } < order.maxPerWorker) &&
         free().covers(order.demand)
--- a/src/main/kotlin/dandelionpoint/fleet/CellController.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellController.kt
@@ -123,7 +123,7 @@
     /** Stops the runs that [matches] selects. */
     fun stopRuns(matches: (RunOrder) -> Boolean) = handle(cell.stopRuns(clock.millis(), matches))
 
-    /** Ends runs whose lease has expired. */
+    /** Repeats unconfirmed stops, and ends runs whose lease has expired. */
     fun tick() = handle(cell.tick(clock.millis()))
 
     /**
