Renew no lease for runs that the owner does not track, nor start their task

What callers would see: two runs of one task, after a cell had a new owner, or after a start order was carried out late.

Cause: a former owner reports its runs as lost one lease after it has lost the cell, because by then the new owner has stopped them or their leases have expired. But the new owner renewed the lease of each worker with a run of its own, and its stop of the other runs was sent once per run list. Also, a task could be started in a cell while another worker there still had a run of it that was being stopped (a job that was submitted again numbers its runs from 1), since only the same worker was checked.

A task is not started while any cell of this VM tracks or lists a run of it. The run list of an idle worker is read until such a run is gone. A cell without such runs makes the same calls as before. The requests of stops are in RunStops now, since Cell had become too long. Ruled out: a longer delay before a former owner reports the runs as lost, since a new owner can see them at any later time.

Not covered: JobRunner starts a run in another VM's cell when place() returns false here; it should ask OwnedCells.hasTask first.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -12,6 +12,7 @@
 import dandelionpoint.protocol.fleet.RunningRow
 import dandelionpoint.protocol.fleet.StartOutcome
 import dandelionpoint.protocol.fleet.StartRefusal
+import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.protocol.peer.FreeCapacity
@@ -58,6 +59,7 @@
     private val workers = LinkedHashMap<String, TrackedWorker>()
     private val awaitingRelease = mutableSetOf<String>()
     private var acceptsRuns = true
+    private val stops = RunStops(rules)
     private val leases = LeasePlanner(token, rules, areAnswersFast = { responseTimes.areFast })
 
     /** Response times of the workers to the controller's calls. */
@@ -108,7 +110,10 @@
     fun freeCapacity(now: Long): Map<String, List<FreeCapacity>> = synchronized(lock) {
         if (!acceptsRuns) return@synchronized emptyMap()
         workers.values
-            .filter { it.isUsable() && it.runs.size < it.health.runLimit(now) && it.free().cpuMilli > 0 }
+            .filter {
+                it.isUsable() && it.leaseLength(now) >= rules.shortestFirstLeaseMs && it.runs.size < it.health.runLimit(now) &&
+                    it.free().cpuMilli > 0
+            }
             .groupBy({ it.entry.pool }) { FreeCapacity(it.free(), it.health.speed.toFloat()) }
     }
 
@@ -120,40 +125,30 @@
         }
     }
 
-    /** Chooses a worker for [order] and reserves capacity there. Returns null if the run fits on no worker. */
+    /** True while a run of [task] is, or may be, in progress on a worker of the cell. */
+    fun hasTask(task: TaskRef): Boolean = synchronized(lock) { workers.values.any { it.hasTask(task) } }
+
+    /**
+     * Chooses a worker for [order] and reserves capacity there. Returns null if the run fits on no worker. A task has at most one run in
+     * the cell: it is not started while another run of it is tracked or listed, of an earlier submission of its job for example.
+     */
     fun place(order: RunOrder, now: Long): Placement? = synchronized(lock) {
-        if (!acceptsRuns) return@synchronized null
+        if (!acceptsRuns || hasTask(order.task)) return@synchronized null
         val excluded = order.avoid?.takeIf {
             order.hasFailed && workers.values.any { it.entry.id != order.avoid && it.couldRun(order, now) }
         }
-        val worker = workers.values.filter { it.entry.id != excluded && it.fits(order, now) }.minByOrNull { cost(it, order) }
+        val worker = workers.values.filter { it.entry.id != excluded && it.fits(order, now) }.minByOrNull { it.cost(order) }
             ?: return@synchronized null
         val run = TrackedRun(order, now)
         worker.runs[order.task] = run
-        leasedPlacement(worker, order, now)
-    }
-
-    /**
-     * The lease in an order ends at the latest when [tick] takes it for expired, so that an order which is carried out after that is
-     * refused: it is counted from a lower bound of the worker's clock.
-     */
-    private fun leasedPlacement(worker: TrackedWorker, order: RunOrder, now: Long): Placement {
-        val lengthMs = worker.leaseLength(now)
-        worker.extendLease(now, lengthMs)
-        return Placement(worker.entry, order, worker.workerClock(now) + lengthMs, worker.startedAtMs, worker.isClockStale(now))
+        leases.placement(worker, order, now)
     }
 
     /** [placement] with a lease from the clock that a poll has just read, or null if there is no fresh reading or no such run any more. */
     fun withFreshLease(placement: Placement, now: Long): Placement? = synchronized(lock) {
         val worker = workers[placement.worker.id]?.takeIf { it.isUsable() && !it.isClockStale(now) } ?: return@synchronized null
         val run = worker.runs[placement.order.task]?.takeIf { it.order.run == placement.order.run } ?: return@synchronized null
-        leasedPlacement(worker, run.order, now)
-    }
-
-    private fun cost(worker: TrackedWorker, order: RunOrder): Long {
-        val rackFactor = if (order.rack != null && order.rack !in worker.entry.labels) 2 else 1
-        val avoidCostMs = if (worker.entry.id == order.avoid) AVOID_COST_MS else 0
-        return worker.expectedMs(order) * rackFactor + avoidCostMs
+        leases.placement(worker, run.order, now)
     }
 
     /** Applies the outcome of the start order for [placement]. */
@@ -218,6 +213,7 @@
         report.ended.sortedBy { it.number }.forEach { events += applyEnd(worker, it, now) }
         report.running.forEach { events += applyRunning(worker, it, plan.sentAt, now) }
         events += handleMissingRuns(worker, plan, report, now)
+        stops.forgetUnlisted(worker, report, plan.sentAt)
         worker.hasRunList = true
         events
     }
@@ -236,22 +232,14 @@
 
     private fun applyRunning(worker: TrackedWorker, row: RunningRow, listRequestedAt: Long, now: Long): List<CellEvent> {
         val run = worker.runs[row.run.task]?.takeIf { it.order.run == row.run }
-            ?: return listOf(CellEvent.Stop(worker.entry, row.run))
+            ?: return stops.stopUntracked(worker, row.run, listRequestedAt, now)
         run.recordRunning(now)
         run.stop?.onListed(listRequestedAt)
         if (run.stop == null) {
             if (!worker.isStalled(run, row.percent, now)) return emptyList()
             worker.health.eject(now)
         }
-        return stop(worker, run, now)
-    }
-
-    /** Requests the stop of [run], or repeats the request if it is due. */
-    private fun stop(worker: TrackedWorker, run: TrackedRun, now: Long): List<CellEvent> {
-        val earlier = run.stop
-        if (earlier?.sendAgain(now) == false) return emptyList()
-        if (earlier == null) run.requestStop(StopRequest(now, rules))
-        return listOf(CellEvent.Stop(worker.entry, run.order.run))
+        return stops.stop(worker, run, now)
     }
 
     /** Handles runs that [report] should list but does not: stops those that may still start, and ends the others as lost. */
@@ -260,7 +248,7 @@
         return worker.runs.values.filter { it.order.run !in present && it.listedAfter < plan.sentAt }.flatMap { run ->
             if (!run.hasStarted && !run.isStopConfirmed) {
                 // The start order may still reach the worker.
-                stop(worker, run, now)
+                stops.stop(worker, run, now)
             } else {
                 worker.health.eject(now, UNREACHABLE_MS)
                 listOf(end(worker, run, RunEnd.LOST))
@@ -274,6 +262,7 @@
      */
     fun onStopped(workerId: String, run: TaskRun, now: Long): List<CellEvent> = synchronized(lock) {
         val worker = workers[workerId] ?: return@synchronized emptyList()
+        worker.untrackedRuns[run]?.stop?.recordConfirmed(now)
         val tracked = worker.runs[run.task]?.takeIf { it.order.run == run } ?: return@synchronized emptyList()
         tracked.recordStopConfirmed(now)
         if (tracked.hasStarted) emptyList() else listOf(CellEvent.PollRuns(workerId))
@@ -300,23 +289,22 @@
     /** Stops the runs that [matches] selects. */
     fun stopRuns(now: Long, matches: (RunOrder) -> Boolean): List<CellEvent> = synchronized(lock) {
         workers.values.flatMap { worker ->
-            worker.runs.values.filter { matches(it.order) && it.stop == null }.flatMap { stop(worker, it, now) }
+            worker.runs.values.filter { matches(it.order) && it.stop == null }.flatMap { stops.stop(worker, it, now) }
         }
     }
 
-    /** Repeats unconfirmed stops, and ends the runs of unresponsive workers whose lease has expired. */
-    fun tick(now: Long): List<CellEvent> = synchronized(lock) { endExpired(now) + repeatStops(now) }
-
-    private fun repeatStops(now: Long): List<CellEvent> = workers.values.flatMap { worker ->
-        worker.runs.values.filter { it.stop?.sendAgain(now) == true }.map { CellEvent.Stop(worker.entry, it.order.run) }
-    }
-
-    /** The lease has certainly expired when its length, the clock drift and a margin have passed since the last renewal was sent. */
-    private fun endExpired(now: Long): List<CellEvent> =
-        workers.values.filter { it.runs.isNotEmpty() && now > it.leaseEndsAt && !it.isResponsive }.flatMap { worker ->
+    /**
+     * Repeats unconfirmed stops, and ends the runs of unresponsive workers whose lease has expired: its length, the clock drift and a
+     * margin have passed since the last renewal was sent.
+     */
+    fun tick(now: Long): List<CellEvent> = synchronized(lock) {
+        workers.values.forEach { stops.forgetExpired(it, now) }
+        val ended = workers.values.filter { it.runs.isNotEmpty() && now > it.leaseEndsAt && !it.isResponsive }.flatMap { worker ->
             worker.health.eject(now)
             worker.runs.values.toList().map { end(worker, it, RunEnd.LOST) }
         }
+        ended + workers.values.flatMap { stops.repeat(it, now) }
+    }
 
     /** Ends all runs as lost without calls to the workers, which now belong to another owner. */
     fun abandon(): List<CellEvent> = synchronized(lock) {
@@ -332,9 +320,6 @@
     private companion object {
         const val MILLI = 1_000
 
-        /** Added to the expected run time on a worker to avoid, in ms, so that it is the last choice. */
-        const val AVOID_COST_MS = 1_000_000L
-
         /** How long a worker is avoided after it could not be reached, in ms. */
         const val UNREACHABLE_MS = 500L
 
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/LeasePlanner.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/LeasePlanner.kt
@@ -1,5 +1,5 @@
 /*
- * Decides what the next lease call to a worker contains. It renews the lease while the worker has runs, acknowledges handled ends, and
+ * Decides which lease the next call to a worker contains. It renews the lease while the worker has runs, acknowledges handled ends, and
  * reads the run list of a worker that is new to this owner. For a period after a lost call, calls ask the worker to wait less, so that a
  * further loss delays the reports of few ended runs. This is not done while answers are slow: more calls would then slow the owner further.
  */
@@ -35,6 +35,9 @@
 
             worker.runs.isNotEmpty() -> LeaseCall(token, worker.handledEnd, renewedLease(worker, now), waitMs(worker, now))
 
+            // The answer shows when the untracked runs have ended.
+            worker.untrackedRuns.isNotEmpty() -> LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs(worker, now))
+
             worker.handledEnd > worker.acknowledgedEnd -> LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs = 0)
 
             else -> return null
@@ -50,6 +53,16 @@
         return worker.workerClock(now) + lengthMs
     }
 
+    /**
+     * The start order for [order] on [worker]. Its lease ends at the latest when [Cell.tick] takes it for expired, so that an order which
+     * is carried out after that is refused: it is counted from a lower bound of the worker's clock.
+     */
+    fun placement(worker: TrackedWorker, order: RunOrder, now: Long): Placement {
+        val lengthMs = worker.leaseLength(now)
+        worker.extendLease(now, lengthMs)
+        return Placement(worker.entry, order, worker.workerClock(now) + lengthMs, worker.startedAtMs, worker.isClockStale(now))
+    }
+
     private fun waitMs(worker: TrackedWorker, now: Long): Int = when {
         worker.runs.values.any { it.state == RunState.UNCERTAIN } -> 0
         now - callLostAt < rules.degradedPeriodMs && areAnswersFast() -> rules.degradedRenewMs
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -6,6 +6,7 @@
 
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.fleet.TaskRef
+import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
 import kotlin.math.max
 import kotlin.math.min
@@ -23,33 +24,6 @@
     STOPPING,
 }
 
-/** A request to stop a run, made at [requestedAt]. It is sent at once, and again until the worker confirms it. */
-internal class StopRequest(private val requestedAt: Long, private val rules: FleetRules) {
-    private var sentAt = requestedAt
-    private var confirmedAt: Long? = null
-
-    val isConfirmed: Boolean get() = confirmedAt != null
-
-    /** True if the request has to be sent again at [now], which is then taken as done. */
-    fun sendAgain(now: Long): Boolean {
-        if (isConfirmed || now - sentAt < rules.stopRetryMs) return false
-        sentAt = now
-        return true
-    }
-
-    fun recordConfirmed(now: Long) {
-        confirmedAt = now
-    }
-
-    /** A run list that was requested at [listRequestedAt] still shows the run: the confirmation had no effect. */
-    fun onListed(listRequestedAt: Long) {
-        if (confirmedAt?.let { listRequestedAt > it + rules.stopTimeoutMs } == true) confirmedAt = null
-    }
-
-    /** While the stop is unconfirmed, the run ends with its worker's lease no later than this. */
-    val leaseLimit: Long get() = if (isConfirmed) Long.MAX_VALUE else requestedAt + rules.unconfirmedStopMs + rules.leaseMs
-}
-
 /** A run on a worker. [orderedAt], [originHeardAt] and [listedAfter] are in ms on the VM's monotonic clock. */
 internal class TrackedRun(val order: RunOrder, val orderedAt: Long) {
     /** Time of the last heartbeat from the VM that dispatched the run. */
@@ -91,7 +65,10 @@
     }
 }
 
-/** One worker with its runs, lease and clock; [heardAt] is that of the [Cell]. Not thread-safe. Times are in ms on the VM's monotonic clock unless stated otherwise. */
+/**
+ * One worker with its runs, lease and clock; [heardAt] is that of the [Cell]. Not thread-safe. Times are in ms on the VM's monotonic clock
+ * unless stated otherwise.
+ */
 internal class TrackedWorker(
     var entry: WorkerEntry,
     private val rules: FleetRules,
@@ -100,6 +77,9 @@
     val health = LeasedWorkerHealth(rules)
     val runs = LinkedHashMap<TaskRef, TrackedRun>()
 
+    /** Started by a former owner, or by an order that was carried out after its run had been taken for lost. */
+    val untrackedRuns = LinkedHashMap<TaskRun, UntrackedRun>()
+
     /** Highest number of an ended run that was handled; the next call acknowledges it. */
     var handledEnd = 0L
 
@@ -130,9 +110,11 @@
     /**
      * The longest lease, in ms, that a call sent at [now] may give to this worker. The lease ends at the latest one lease after the last
      * heartbeat from each VM that dispatched a run here, and [FleetRules.unconfirmedStopMs] plus one lease after the request of a stop that
-     * is still unconfirmed. A run with a confirmed stop does not count.
+     * is still unconfirmed. A run with a confirmed stop does not count. There is no renewal while an untracked run's stop is unconfirmed,
+     * so that the run ends with the lease that its former owner counts on.
      */
     fun leaseLength(now: Long): Long {
+        if (untrackedRuns.values.any { !it.stop.isConfirmed }) return 0
         val limits = runs.values.filter { !it.isStopConfirmed }.map { min(heartbeatLimit(it), it.stop?.leaseLimit ?: Long.MAX_VALUE) }
         return min(rules.leaseMs, limits.minOrNull()?.minus(now) ?: rules.leaseMs)
     }
@@ -186,7 +168,6 @@
         runs.size < health.runLimit(now) &&
         leaseLength(now) >= rules.shortestFirstLeaseMs &&
         mayJoinLease(order, now) &&
-        order.task !in runs &&
         (order.maxPerWorker == 0 || runs.values.count { it.order.sharesStepWith(order) } < order.maxPerWorker) &&
         free().covers(order.demand)
 
@@ -202,6 +183,13 @@
     /** Expected run time of [order] on this worker, in ms. */
     fun expectedMs(order: RunOrder): Long = max(1L, (order.estimateMs / health.speed).toLong())
 
+    /** Preference for [order] on this worker, by expected run time; a smaller cost is better. */
+    fun cost(order: RunOrder): Long {
+        val rackFactor = if (order.rack != null && order.rack !in entry.labels) 2 else 1
+        val avoidCostMs = if (entry.id == order.avoid) AVOID_COST_MS else 0
+        return expectedMs(order) * rackFactor + avoidCostMs
+    }
+
     /**
      * True if [run], of which [percent] is done, is so far behind that another worker would finish it earlier. Its projected total run
      * time also enters the estimate of the worker's speed. Declared run times may be far too short, so a run that makes progress is
@@ -218,6 +206,9 @@
         return projected - elapsed >= 2 * usualMs
     }
 
+    /** True while a run of [task] is, or may be, in progress on this worker. */
+    fun hasTask(task: TaskRef): Boolean = task in runs || untrackedRuns.keys.any { it.task == task }
+
     /** Discards what is known from run lists: the worker gets no further runs before its run list has been read again. */
     fun forgetRunList() {
         handledEnd = 0
@@ -236,6 +227,9 @@
         const val NO_PROGRESS_MS = 600L
         const val PERCENT = 100
 
+        /** Added to the expected run time on a worker to avoid, in ms, so that it is the last choice. */
+        const val AVOID_COST_MS = 1_000_000L
+
         /** The clock of a worker runs at most this much slow. */
         const val CLOCK_DRIFT_PERCENT = 2
     }
--- a/src/main/kotlin/dandelionpoint/fleet/CellController.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellController.kt
@@ -15,6 +15,7 @@
 import dandelionpoint.protocol.fleet.RunEnd
 import dandelionpoint.protocol.fleet.StartOrder
 import dandelionpoint.protocol.fleet.StartOutcome
+import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.protocol.fleet.WorkerPort
@@ -44,7 +45,10 @@
     fun fenced(cell: String)
 }
 
-/** Makes the calls for [cell]. Cancelling [vmScope] also ends the controller. All times are in ms. */
+/**
+ * Makes the calls for [cell]. [hasTask] is true while a run of a task is in progress in any cell of this VM. Cancelling [vmScope] also ends
+ * the controller. All times are in ms.
+ */
 internal class CellController(
     private val vmScope: CoroutineScope,
     val cell: Cell,
@@ -52,6 +56,7 @@
     private val listener: CellListener,
     private val clock: Clock = Clock.System,
     private val rules: FleetRules = FleetRules(),
+    private val hasTask: (TaskRef) -> Boolean = { cell.hasTask(it) },
 ) {
     private val controllerJob = SupervisorJob(vmScope.coroutineContext[Job])
     private val scope = CoroutineScope(vmScope.coroutineContext + controllerJob)
@@ -68,8 +73,9 @@
     /** Wakes the lease loops of all workers, after workers were released. */
     fun wake() = wakeSignals.values.forEach { it.trySend(Unit) }
 
-    /** Starts [order] on a worker. Returns false if none has enough free capacity. */
+    /** Starts [order] on a worker. Returns false if none has enough free capacity, or if a run of the task is still in progress. */
     fun place(order: RunOrder): Boolean {
+        if (hasTask(order.task)) return false
         val placement = cell.place(order, clock.millis()) ?: return false
         scope.launch { start(placement) }
         return true
@@ -91,7 +97,10 @@
     private suspend fun withFreshLease(placement: Placement): Placement? =
         if (pollRuns(placement.worker.id)) cell.withFreshLease(placement, clock.millis()) else null
 
-    /** Sends the order of [placement]. Once the answer is overdue, the worker is asked for its list of runs; an answer that arrives later still counts. */
+    /**
+     * Sends the order of [placement]. Once the answer is overdue, the worker is asked for its list of runs; an answer that arrives later
+     * still counts.
+     */
     private suspend fun answerOf(placement: Placement): StartOutcome = coroutineScope {
         val order = StartOrder(placement.order.run, placement.order.payload, placement.leaseUntilMs, cell.token)
         val answer = async { timedStart(placement.worker, order) }
@@ -128,7 +137,7 @@
 
     /**
      * Stops all calls, because another VM owns the cell now. The runs are reported as lost after the longest time that a lease can last: by
-     * then the new owner has stopped them or their leases have expired.
+     * then the new owner has stopped them or their leases have expired, since it renews no lease for them.
      */
     fun abandon() {
         controllerJob.cancel()
@@ -152,7 +161,9 @@
 
     private suspend fun stop(worker: WorkerEntry, run: TaskRun) {
         val isConfirmed = port.stop(worker, run, cell.token, rules.answerMarginMs)
-        if (isConfirmed) handle(cell.onStopped(worker.id, run, clock.millis()))
+        if (!isConfirmed) return
+        handle(cell.onStopped(worker.id, run, clock.millis()))
+        wakeSignals[worker.id]?.trySend(Unit)
     }
 
     private suspend fun leaseLoop(id: String, signal: Channel<Unit>) {
@@ -170,7 +181,8 @@
     }
 
     /** True for a call that only acknowledges ended runs. It may be delayed, to be combined with the call for the next run. */
-    private fun LeasePlan.isAcknowledgement() = call.leaseUntilMs == null && call.seenEnd > 0 && !cell.hasRuns(worker.id)
+    private fun LeasePlan.isAcknowledgement() =
+        call.leaseUntilMs == null && call.waitMs == 0 && call.seenEnd > 0 && !cell.hasRuns(worker.id)
 
     private suspend fun lease(plan: LeasePlan) {
         val fresh = cell.planLease(plan.worker.id, clock.millis()) ?: return
--- a/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
@@ -7,6 +7,7 @@
 import dandelionpoint.coordination.fleet.Cell
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.protocol.Clock
+import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.protocol.fleet.WorkerPort
@@ -40,12 +41,15 @@
 
     private fun all() = controllers.values + handedOver.values.map { it.controller }
 
+    /** True while a run of [task] is, or may be, in progress on a worker of any cell. */
+    fun hasTask(task: TaskRef): Boolean = all().any { it.cell.hasTask(task) }
+
     /** Number of runs on the workers of all cells, including those that were handed over. */
     fun runCount(): Int = all().sumOf { it.cell.runCount() }
 
     /** Takes ownership of [cell] under [token]. Workers that a [formerOwner] still uses are free once it releases them. */
     fun gain(cell: String, token: Long, formerOwner: VmIdentity?) {
-        val controller = CellController(scope, Cell(cell, token, rules, heardAt), port, listener, clock, rules)
+        val controller = CellController(scope, Cell(cell, token, rules, heardAt), port, listener, clock, rules, ::hasTask)
         if (formerOwner != null) {
             formerOwners[cell] = formerOwner
             controller.cell.awaitRelease(workersOf(cell).map { it.id }.toSet())
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
@@ -134,20 +134,7 @@
         while (now < end) {
             now += STEP_MS
             if (now < end - quietMs && chance(0.25)) submit()
-            lateOrders.filter { it.at <= now }.forEach { order ->
-                lateOrders.remove(order)
-                val outcome = startOn(workers.getValue(order.placement.worker.id), order.placement)
-                // The answer arrives after the order was taken for lost.
-                if (order.isAnswered) handleCellEvents(cell.onStart(order.placement, outcome, now))
-            }
-            lateLists.filter { it.at <= now }.forEach { list ->
-                lateLists.remove(list)
-                handleCellEvents(cell.onReport(list.plan, list.report, now))
-            }
-            lateStops.filter { it.at <= now }.forEach { stop ->
-                lateStops.remove(stop)
-                stopOn(stop.event)
-            }
+            deliverLate()
             workers.values.filter { chance(faults.restart) }.forEach { restart(it) }
             if (now < end - quietMs && chance(faults.cancel)) cancelOne()
             repeatedJobs.filter { it.at <= now }.forEach { repeated ->
@@ -155,7 +142,7 @@
                 submitAgain(repeated.job)
             }
             List(polls.size) { polls.removeFirst() }.forEach { id -> cell.planPoll(id, now)?.let { callWorker(id, it) } }
-            if (now % leaseIntervalMs == 0L) workers.keys.forEach { id -> cell.planLease(id, now)?.let { callWorker(id, it) } }
+            if (now % leaseIntervalMs == 0L) callWorkers()
             handleCellEvents(cell.tick(now))
             handleDispatchEvents(dispatch.schedule(now, ::place))
         }
@@ -166,6 +153,25 @@
 
     private fun chance(share: Double) = random.nextDouble() < share
 
+    private fun callWorkers() = workers.keys.forEach { id -> cell.planLease(id, now)?.let { callWorker(id, it) } }
+
+    private fun deliverLate() {
+        lateOrders.filter { it.at <= now }.forEach { order ->
+            lateOrders.remove(order)
+            val outcome = startOn(workers.getValue(order.placement.worker.id), order.placement)
+            // The answer arrives after the order was taken for lost.
+            if (order.isAnswered) handleCellEvents(cell.onStart(order.placement, outcome, now))
+        }
+        lateLists.filter { it.at <= now }.forEach { list ->
+            lateLists.remove(list)
+            handleCellEvents(cell.onReport(list.plan, list.report, now))
+        }
+        lateStops.filter { it.at <= now }.forEach { stop ->
+            lateStops.remove(stop)
+            stopOn(stop.event)
+        }
+    }
+
     /** Calls that the former incarnation received and has not carried out yet end with it. */
     private fun restart(worker: VirtualWorker) {
         worker.restart(now)
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/WorkerLeaseTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/WorkerLeaseTest.kt
@@ -1,7 +1,7 @@
 /*
- * Guards against runs that go on after the VM that wanted them is lost or after their stop, because the lease of their worker is renewed, and
- * against runs that are taken for ended while their worker may still start or continue them. Clocks of workers equal the VM's clock unless
- * a test says otherwise.
+ * Guards against runs that go on after the VM that wanted them is lost or after their stop, because the lease of their worker is renewed,
+ * and against runs that are taken for ended while their worker may still start or continue them. Clocks of workers equal the VM's clock
+ * unless a test says otherwise.
  */
 package dandelionpoint.coordination.fleet
 
--- a/src/test/kotlin/dandelionpoint/fleet/CellControllerTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/CellControllerTest.kt
@@ -38,7 +38,7 @@
 /** Longest wait for the end of a run, in ms. */
 private const val LIMIT_MS = 5_000L
 
-/** A worker whose runs take [runMs] from their start. The starts and the waiting lease calls that are to be lost neither arrive nor get an answer. */
+/** A worker whose runs take [runMs]. The starts, stops and waiting lease calls that are to be lost neither arrive nor get an answer. */
 private class LossyWorker(private val clock: Clock, var runMs: Long) : WorkerPort {
     /** Rate of the worker's own clock; its drift is at most 2 %. */
     var clockRate = 1.0
