--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -12,6 +12,7 @@
 import dandelionpoint.protocol.fleet.RunningRow
 import dandelionpoint.protocol.fleet.StartOutcome
 import dandelionpoint.protocol.fleet.StartRefusal
+import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.protocol.peer.FreeCapacity
@@ -32,15 +33,33 @@
     data object Fenced : CellEvent
 }
 
-/** A start order that the controller has to send to [worker], with the lease [leaseUntilMs] on the worker's clock. */
-internal data class Placement(val worker: WorkerEntry, val order: RunOrder, val leaseUntilMs: Long)
-
-/** The cell [name], owned under the fencing token [token]. Times are in ms on the VM's monotonic clock unless stated otherwise. */
-internal class Cell(val name: String, val token: Long, private val rules: FleetRules = FleetRules()) {
+/**
+ * A start order that the controller has to send to [worker], with the lease [leaseUntilMs] on the clock of the incarnation that started at
+ * [incarnationMs]. If [isClockStale], the worker's run list has to be polled and the lease set by [Cell.withFreshLease] before.
+ */
+internal data class Placement(
+    val worker: WorkerEntry,
+    val order: RunOrder,
+    val leaseUntilMs: Long,
+    val incarnationMs: Long,
+    val isClockStale: Boolean,
+)
+
+/**
+ * The cell [name], owned under the fencing token [token]. [heardAt] is the time of the last heartbeat from the VM with an incarnation, null
+ * if there was none or the VM is lost. Times are in ms on the VM's monotonic clock unless stated otherwise.
+ */
+internal class Cell(
+    val name: String,
+    val token: Long,
+    private val rules: FleetRules = FleetRules(),
+    private val heardAt: (String) -> Long? = { Long.MAX_VALUE / 2 },
+) {
     private val lock = Any()
     private val workers = LinkedHashMap<String, TrackedWorker>()
     private val awaitingRelease = mutableSetOf<String>()
     private var acceptsRuns = true
+    private val stops = RunStops(rules)
     private val leases = LeasePlanner(token, rules, areAnswersFast = { responseTimes.areFast })
 
     /** Response times of the workers to the controller's calls. */
@@ -49,9 +68,14 @@
     /** Updates the list of the cell's workers. A worker that is no longer listed gets no new runs and is dropped once it has none left. */
     fun updateWorkers(entries: List<WorkerEntry>) = synchronized(lock) {
         entries.forEach { entry ->
-            val worker = workers.getOrPut(entry.id) { TrackedWorker(entry, rules).also { it.isReleased = entry.id !in awaitingRelease } }
+            val worker = workers.getOrPut(entry.id) {
+                TrackedWorker(entry, rules, heardAt).also {
+                    it.isReleased =
+                        entry.id !in awaitingRelease
+                }
+            }
             val hasRestarted = entry.startedAtMs != 0L && worker.startedAtMs != 0L && entry.startedAtMs > worker.startedAtMs
-            if (hasRestarted) worker.forgetRunList()
+            if (hasRestarted) worker.onRestart(entry.startedAtMs)
             worker.entry = entry
         }
         val listed = entries.map { it.id }.toSet()
@@ -86,7 +110,10 @@
     fun freeCapacity(now: Long): Map<String, List<FreeCapacity>> = synchronized(lock) {
         if (!acceptsRuns) return@synchronized emptyMap()
         workers.values
-            .filter { it.isUsable() && it.runs.size < it.health.runLimit(now) && it.free().cpuMilli > 0 }
+            .filter {
+                it.isUsable() && it.leaseLength(now) >= rules.shortestFirstLeaseMs && it.runs.size < it.health.runLimit(now) &&
+                    it.free().cpuMilli > 0
+            }
             .groupBy({ it.entry.pool }) { FreeCapacity(it.free(), it.health.speed.toFloat()) }
     }
 
@@ -98,24 +125,30 @@
         }
     }
 
-    /** Chooses a worker for [order] and reserves capacity there. Returns null if the run fits on no worker. */
+    /** True while a run of [task] is, or may be, in progress on a worker of the cell. */
+    fun hasTask(task: TaskRef): Boolean = synchronized(lock) { workers.values.any { it.hasTask(task) } }
+
+    /**
+     * Chooses a worker for [order] and reserves capacity there. Returns null if the run fits on no worker. A task has at most one run in
+     * the cell: it is not started while another run of it is tracked or listed, of an earlier submission of its job for example.
+     */
     fun place(order: RunOrder, now: Long): Placement? = synchronized(lock) {
-        if (!acceptsRuns) return@synchronized null
+        if (!acceptsRuns || hasTask(order.task)) return@synchronized null
         val excluded = order.avoid?.takeIf {
             order.hasFailed && workers.values.any { it.entry.id != order.avoid && it.couldRun(order, now) }
         }
-        val worker = workers.values.filter { it.entry.id != excluded && it.fits(order, now) }.minByOrNull { cost(it, order) }
+        val worker = workers.values.filter { it.entry.id != excluded && it.fits(order, now) }.minByOrNull { it.cost(order) }
             ?: return@synchronized null
         val run = TrackedRun(order, now)
         worker.runs[order.task] = run
-        worker.extendLease(now)
-        Placement(worker.entry, order, worker.workerClock(now) + rules.leaseMs)
+        leases.placement(worker, order, now)
     }
 
-    private fun cost(worker: TrackedWorker, order: RunOrder): Long {
-        val rackFactor = if (order.rack != null && order.rack !in worker.entry.labels) 2 else 1
-        val avoidCostMs = if (worker.entry.id == order.avoid) AVOID_COST_MS else 0
-        return worker.expectedMs(order) * rackFactor + avoidCostMs
+    /** [placement] with a lease from the clock that a poll has just read, or null if there is no fresh reading or no such run any more. */
+    fun withFreshLease(placement: Placement, now: Long): Placement? = synchronized(lock) {
+        val worker = workers[placement.worker.id]?.takeIf { it.isUsable() && !it.isClockStale(now) } ?: return@synchronized null
+        val run = worker.runs[placement.order.task]?.takeIf { it.order.run == placement.order.run } ?: return@synchronized null
+        leases.placement(worker, run.order, now)
     }
 
     /** Applies the outcome of the start order for [placement]. */
@@ -124,7 +157,7 @@
         val run = worker.runs[placement.order.task]?.takeIf { it.order.run == placement.order.run } ?: return@synchronized emptyList()
         when (outcome) {
             is StartOutcome.Started -> {
-                worker.recordClock(outcome.clockMs, now)
+                if (placement.incarnationMs == worker.startedAtMs) worker.recordClock(outcome.clockMs, now)
                 run.recordRunning(now)
                 emptyList()
             }
@@ -178,8 +211,9 @@
         worker.isResponsive = true
         worker.acknowledgedEnd = max(worker.acknowledgedEnd, plan.call.seenEnd)
         report.ended.sortedBy { it.number }.forEach { events += applyEnd(worker, it, now) }
-        report.running.forEach { events += applyRunning(worker, it, now) }
+        report.running.forEach { events += applyRunning(worker, it, plan.sentAt, now) }
         events += handleMissingRuns(worker, plan, report, now)
+        stops.forgetUnlisted(worker, report, plan.sentAt)
         worker.hasRunList = true
         events
     }
@@ -196,26 +230,28 @@
         return listOf(end(worker, run, row.end))
     }
 
-    private fun applyRunning(worker: TrackedWorker, row: RunningRow, now: Long): List<CellEvent> {
+    private fun applyRunning(worker: TrackedWorker, row: RunningRow, listRequestedAt: Long, now: Long): List<CellEvent> {
         val run = worker.runs[row.run.task]?.takeIf { it.order.run == row.run }
-        run?.recordRunning(now)
-        if (run == null || run.state == RunState.STOPPING) return listOf(CellEvent.Stop(worker.entry, row.run))
-        if (!worker.isStalled(run, row.percent, now)) return emptyList()
-        worker.health.eject(now)
-        run.state = RunState.STOPPING
-        return listOf(CellEvent.Stop(worker.entry, row.run))
+            ?: return stops.stopUntracked(worker, row.run, listRequestedAt, now)
+        run.recordRunning(now)
+        run.stop?.onListed(listRequestedAt)
+        if (run.stop == null) {
+            if (!worker.isStalled(run, row.percent, now)) return emptyList()
+            worker.health.eject(now)
+        }
+        return stops.stop(worker, run, now)
     }
 
     /** Handles runs that [report] should list but does not: stops those that may still start, and ends the others as lost. */
     private fun handleMissingRuns(worker: TrackedWorker, plan: LeasePlan, report: LeaseReport, now: Long): List<CellEvent> {
         val present = report.running.map { it.run }.toSet()
-        return worker.runs.values.filter { it.order.run !in present && it.listedAfter < plan.sentAt }.map { run ->
+        return worker.runs.values.filter { it.order.run !in present && it.listedAfter < plan.sentAt }.flatMap { run ->
             if (!run.hasStarted && !run.isStopConfirmed) {
                 // The start order may still reach the worker.
-                CellEvent.Stop(worker.entry, run.order.run)
+                stops.stop(worker, run, now)
             } else {
                 worker.health.eject(now, UNREACHABLE_MS)
-                end(worker, run, RunEnd.LOST)
+                listOf(end(worker, run, RunEnd.LOST))
             }
         }
     }
@@ -226,6 +262,7 @@
      */
     fun onStopped(workerId: String, run: TaskRun, now: Long): List<CellEvent> = synchronized(lock) {
         val worker = workers[workerId] ?: return@synchronized emptyList()
+        worker.untrackedRuns[run]?.stop?.recordConfirmed(now)
         val tracked = worker.runs[run.task]?.takeIf { it.order.run == run } ?: return@synchronized emptyList()
         tracked.recordStopConfirmed(now)
         if (tracked.hasStarted) emptyList() else listOf(CellEvent.PollRuns(workerId))
@@ -236,31 +273,37 @@
         synchronized(lock) { workers[plan.worker.id]?.isResponsive = false }
     }
 
-    /** The worker's address now belongs to another worker or incarnation, so its runs are lost. */
+    /**
+     * The address that the call of [plan] was sent to belongs to another worker or incarnation. The runs that were ordered there before are
+     * lost. The answer says nothing about a worker that has moved to another address meanwhile.
+     */
     fun onOtherIncarnation(plan: LeasePlan, now: Long): List<CellEvent> = synchronized(lock) {
         val worker = workers[plan.worker.id] ?: return@synchronized emptyList()
+        if (!worker.hasAddressOf(plan.worker)) return@synchronized emptyList()
         worker.isResponsive = false
         worker.health.eject(now)
         worker.forgetRunList()
-        worker.runs.values.toList().map { end(worker, it, RunEnd.LOST) }
+        worker.runs.values.filter { it.orderedAt <= plan.sentAt }.map { end(worker, it, RunEnd.LOST) }
     }
 
     /** Stops the runs that [matches] selects. */
-    fun stopRuns(matches: (RunOrder) -> Boolean): List<CellEvent> = synchronized(lock) {
+    fun stopRuns(now: Long, matches: (RunOrder) -> Boolean): List<CellEvent> = synchronized(lock) {
         workers.values.flatMap { worker ->
-            worker.runs.values.filter { matches(it.order) && it.state != RunState.STOPPING }.map {
-                it.state = RunState.STOPPING
-                CellEvent.Stop(worker.entry, it.order.run)
-            }
+            worker.runs.values.filter { matches(it.order) && it.stop == null }.flatMap { stops.stop(worker, it, now) }
         }
     }
 
-    /** Ends the runs of unresponsive workers whose lease has expired, with the clock drift and margin allowed for. */
+    /**
+     * Repeats unconfirmed stops, and ends the runs of unresponsive workers whose lease has expired: its length, the clock drift and a
+     * margin have passed since the last renewal was sent.
+     */
     fun tick(now: Long): List<CellEvent> = synchronized(lock) {
-        workers.values.filter { it.runs.isNotEmpty() && now > it.leaseEndsAt && !it.isResponsive }.flatMap { worker ->
+        workers.values.forEach { stops.forgetExpired(it, now) }
+        val ended = workers.values.filter { it.runs.isNotEmpty() && now > it.leaseEndsAt && !it.isResponsive }.flatMap { worker ->
             worker.health.eject(now)
             worker.runs.values.toList().map { end(worker, it, RunEnd.LOST) }
         }
+        ended + workers.values.flatMap { stops.repeat(it, now) }
     }
 
     /** Ends all runs as lost without calls to the workers, which now belong to another owner. */
@@ -277,9 +320,6 @@
     private companion object {
         const val MILLI = 1_000
 
-        /** Added to the expected run time on a worker to avoid, in ms, so that it is the last choice. */
-        const val AVOID_COST_MS = 1_000_000L
-
         /** How long a worker is avoided after it could not be reached, in ms. */
         const val UNREACHABLE_MS = 500L
 
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/LeasePlanner.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/LeasePlanner.kt
@@ -1,5 +1,5 @@
 /*
- * Decides what the next lease call to a worker contains. It renews the lease while the worker has runs, acknowledges handled ends, and
+ * Decides which lease the next call to a worker contains. It renews the lease while the worker has runs, acknowledges handled ends, and
  * reads the run list of a worker that is new to this owner. For a period after a lost call, calls ask the worker to wait less, so that a
  * further loss delays the reports of few ended runs. This is not done while answers are slow: more calls would then slow the owner further.
  */
@@ -30,10 +30,13 @@
             // A call to an unresponsive worker does not renew the lease, so that its runs end at a known time.
             !worker.isResponsive -> LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs = 0)
 
-            worker.runs.isNotEmpty() -> {
-                worker.extendLease(now)
-                LeaseCall(token, worker.handledEnd, worker.workerClock(now) + rules.leaseMs, waitMs(worker, now))
-            }
+            // The answer contains the clock from which the next call's lease is counted.
+            worker.runs.isNotEmpty() && worker.isClockStale(now) -> LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs = 0)
+
+            worker.runs.isNotEmpty() -> LeaseCall(token, worker.handledEnd, renewedLease(worker, now), waitMs(worker, now))
+
+            // The answer shows when the untracked runs have ended.
+            worker.untrackedRuns.isNotEmpty() -> LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs(worker, now))
 
             worker.handledEnd > worker.acknowledgedEnd -> LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs = 0)
 
@@ -42,6 +45,24 @@
         return LeasePlan(worker.entry, call, now)
     }
 
+    /** End of the renewed lease on the worker's clock, or null if no renewal is allowed. */
+    private fun renewedLease(worker: TrackedWorker, now: Long): Long? {
+        val lengthMs = worker.leaseLength(now)
+        if (lengthMs <= 0) return null
+        worker.extendLease(now, lengthMs)
+        return worker.workerClock(now) + lengthMs
+    }
+
+    /**
+     * The start order for [order] on [worker]. Its lease ends at the latest when [Cell.tick] takes it for expired, so that an order which
+     * is carried out after that is refused: it is counted from a lower bound of the worker's clock.
+     */
+    fun placement(worker: TrackedWorker, order: RunOrder, now: Long): Placement {
+        val lengthMs = worker.leaseLength(now)
+        worker.extendLease(now, lengthMs)
+        return Placement(worker.entry, order, worker.workerClock(now) + lengthMs, worker.startedAtMs, worker.isClockStale(now))
+    }
+
     private fun waitMs(worker: TrackedWorker, now: Long): Int = when {
         worker.runs.values.any { it.state == RunState.UNCERTAIN } -> 0
         now - callLostAt < rules.degradedPeriodMs && areAnswersFast() -> rules.degradedRenewMs
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -6,8 +6,10 @@
 
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.fleet.TaskRef
+import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
 import kotlin.math.max
+import kotlin.math.min
 
 /** State of a run on a worker. */
 internal enum class RunState {
@@ -22,8 +24,11 @@
     STOPPING,
 }
 
-/** A run on a worker. [orderedAt] and [listedAfter] are in ms on the VM's monotonic clock. */
+/** A run on a worker. [orderedAt], [lastHeartbeatAt] and [listedAfter] are in ms on the VM's monotonic clock. */
 internal class TrackedRun(val order: RunOrder, val orderedAt: Long) {
+    /** Time of the last heartbeat from the VM that dispatched the run, or from that of its client if that one is earlier. */
+    var lastHeartbeatAt = orderedAt
+
     var state = RunState.ORDERED
 
     /** A run list that was requested later than this contains the run, unless it has ended or never started. */
@@ -33,10 +38,19 @@
     var hasStarted = false
         private set
 
-    /** True once the worker has confirmed the stop. If it has not started the run by then, it never will. */
-    var isStopConfirmed = false
+    /** The request to stop this run, null if there was none. */
+    var stop: StopRequest? = null
         private set
 
+    /** True once the worker has confirmed the stop. If it has not started the run by then, it never will. */
+    val isStopConfirmed: Boolean get() = stop?.isConfirmed == true
+
+    /** Requests the stop of this run. */
+    fun requestStop(request: StopRequest) {
+        state = RunState.STOPPING
+        stop = request
+    }
+
     /** Records that the worker has the run, according to its answer or run list received at [now]. */
     fun recordRunning(now: Long) {
         if (!hasStarted) listedAfter = now
@@ -46,17 +60,26 @@
 
     /** Records that the worker confirmed the stop at [now]. The run still occupies capacity until a run list shows that it has ended. */
     fun recordStopConfirmed(now: Long) {
-        state = RunState.STOPPING
-        isStopConfirmed = true
+        stop?.recordConfirmed(now)
         listedAfter = now
     }
 }
 
-/** One worker with its runs, lease and clock. Not thread-safe. Times are in ms on the VM's monotonic clock unless stated otherwise. */
-internal class TrackedWorker(var entry: WorkerEntry, private val rules: FleetRules) {
+/**
+ * One worker with its runs, lease and clock; [heardAt] is that of the [Cell]. Not thread-safe. Times are in ms on the VM's monotonic clock
+ * unless stated otherwise.
+ */
+internal class TrackedWorker(
+    var entry: WorkerEntry,
+    private val rules: FleetRules,
+    private val heardAt: (String) -> Long? = { Long.MAX_VALUE / 2 },
+) {
     val health = LeasedWorkerHealth(rules)
     val runs = LinkedHashMap<TaskRef, TrackedRun>()
 
+    /** Started by a former owner, or by an order that was carried out after its run had been taken for lost. */
+    val untrackedRuns = LinkedHashMap<TaskRun, UntrackedRun>()
+
     /** Highest number of an ended run that was handled; the next call acknowledges it. */
     var handledEnd = 0L
 
@@ -76,15 +99,39 @@
     var leaseEndsAt = 0L
         private set
 
+    private var grantedUntil = 0L
+
     /** Start of the incarnation that the run list belongs to (wall clock, ms), 0 if unknown. */
     var startedAtMs = 0L
 
     private var clockMs = 0L
     private var clockRecordedAt = 0L
 
-    /** Records that a call sent at [now] renews the lease. */
-    fun extendLease(now: Long) {
-        leaseEndsAt = max(leaseEndsAt, now + rules.longestLeaseMs)
+    /**
+     * The longest lease, in ms, that a call sent at [now] may give to this worker. The lease ends at the latest one lease after the last
+     * heartbeat from each VM that dispatched a run here or has its client, and [FleetRules.unconfirmedStopMs] plus one lease after the
+     * request of a stop that is still unconfirmed. A run with a confirmed stop does not count. There is no renewal while an untracked run's stop is unconfirmed,
+     * so that the run ends with the lease that its former owner counts on.
+     */
+    fun leaseLength(now: Long): Long {
+        if (untrackedRuns.values.any { !it.stop.isConfirmed }) return 0
+        val limits = runs.values.filter { !it.isStopConfirmed }.map { min(heartbeatLimit(it), it.stop?.leaseLimit ?: Long.MAX_VALUE) }
+        return min(rules.leaseMs, limits.minOrNull()?.minus(now) ?: rules.leaseMs)
+    }
+
+    /** The last heartbeat from a VM that has been lost since is still the one that counts. */
+    private fun heartbeatLimit(run: TrackedRun): Long {
+        lastHeartbeat(run.order)?.let { run.lastHeartbeatAt = it }
+        return run.lastHeartbeatAt + rules.leaseMs
+    }
+
+    /** The earlier one of the last heartbeats from the VMs that want the run of [order], null if one of them is lost or unknown. */
+    private fun lastHeartbeat(order: RunOrder): Long? = min(heardAt(order.origin) ?: return null, heardAt(order.entryVm) ?: return null)
+
+    /** Records that a call sent at [now] renews the lease for [lengthMs]. */
+    fun extendLease(now: Long, lengthMs: Long) {
+        grantedUntil = max(grantedUntil, now + lengthMs)
+        leaseEndsAt = max(leaseEndsAt, now + rules.longestLeaseMs(lengthMs))
     }
 
     /** Records the worker's clock from an answer received at [now]. */
@@ -93,13 +140,19 @@
         clockRecordedAt = now
     }
 
-    /** Lower bound of the worker's clock at [now], but for its drift since the last answer. */
-    fun workerClock(now: Long): Long = clockMs + (now - clockRecordedAt)
+    /** Lower bound of the worker's clock at [now]: it may have run slow since the last answer. */
+    fun workerClock(now: Long): Long = clockMs + (now - clockRecordedAt) * (PERCENT - CLOCK_DRIFT_PERCENT) / PERCENT
+
+    /** True if the clock was read so long ago that its lower bound would make leases much shorter. */
+    fun isClockStale(now: Long): Boolean = now - clockRecordedAt > rules.maxClockAgeMs
 
     fun used(): Demand = runs.values.fold(Demand(0)) { sum, run -> sum + run.order.demand }
 
     fun free(): Demand = entry.capacity - used()
 
+    /** True if [other] is reached at this worker's current address. */
+    fun hasAddressOf(other: WorkerEntry): Boolean = entry.host == other.host && entry.port == other.port
+
     /** True if new runs may be started on this worker. */
     fun isUsable(): Boolean = hasRunList && isReleased && isResponsive && !entry.isDraining
 
@@ -116,13 +169,30 @@
     /** True if [order] can be started on this worker at [now]. */
     fun fits(order: RunOrder, now: Long): Boolean = couldRun(order, now) &&
         runs.size < health.runLimit(now) &&
-        order.task !in runs &&
+        leaseLength(now) >= rules.shortestFirstLeaseMs &&
+        mayJoinLease(order, now) &&
         (order.maxPerWorker == 0 || runs.values.count { it.order.sharesStepWith(order) } < order.maxPerWorker) &&
         free().covers(order.demand)
 
+    /**
+     * A lease is never shortened, so a run is not started under one that reaches much further than its own VMs' last heartbeats allow,
+     * nor for a VM that is lost or unknown.
+     */
+    private fun mayJoinLease(order: RunOrder, now: Long): Boolean {
+        val limit = (lastHeartbeat(order) ?: return false) + rules.leaseMs
+        return limit - now >= rules.shortestFirstLeaseMs && grantedUntil <= limit + rules.heartbeatDelayMs
+    }
+
     /** Expected run time of [order] on this worker, in ms. */
     fun expectedMs(order: RunOrder): Long = max(1L, (order.estimateMs / health.speed).toLong())
 
+    /** Preference for [order] on this worker, by expected run time; a smaller cost is better. */
+    fun cost(order: RunOrder): Long {
+        val rackFactor = if (order.rack != null && order.rack !in entry.labels) 2 else 1
+        val avoidCostMs = if (entry.id == order.avoid) AVOID_COST_MS else 0
+        return expectedMs(order) * rackFactor + avoidCostMs
+    }
+
     /**
      * True if [run], of which [percent] is done, is so far behind that another worker would finish it earlier. Its projected total run
      * time also enters the estimate of the worker's speed. Declared run times may be far too short, so a run that makes progress is
@@ -139,6 +209,9 @@
         return projected - elapsed >= 2 * usualMs
     }
 
+    /** True while a run of [task] is, or may be, in progress on this worker. */
+    fun hasTask(task: TaskRef): Boolean = task in runs || untrackedRuns.keys.any { it.task == task }
+
     /** Discards what is known from run lists: the worker gets no further runs before its run list has been read again. */
     fun forgetRunList() {
         handledEnd = 0
@@ -155,5 +228,12 @@
     private companion object {
         /** A repeated run of a task that makes no progress is stopped this long after its declared run time, in ms. */
         const val NO_PROGRESS_MS = 600L
+        const val PERCENT = 100
+
+        /** Added to the expected run time on a worker to avoid, in ms, so that it is the last choice. */
+        const val AVOID_COST_MS = 1_000_000L
+
+        /** The clock of a worker runs at most this much slow. */
+        const val CLOCK_DRIFT_PERCENT = 2
     }
 }
--- a/src/main/kotlin/dandelionpoint/fleet/CellController.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellController.kt
@@ -15,6 +15,7 @@
 import dandelionpoint.protocol.fleet.RunEnd
 import dandelionpoint.protocol.fleet.StartOrder
 import dandelionpoint.protocol.fleet.StartOutcome
+import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.protocol.fleet.WorkerPort
@@ -44,7 +45,10 @@
     fun fenced(cell: String)
 }
 
-/** Makes the calls for [cell]. Cancelling [vmScope] also ends the controller. All times are in ms. */
+/**
+ * Makes the calls for [cell]. [hasTask] is true while a run of a task is in progress in any cell of this VM. Cancelling [vmScope] also ends
+ * the controller. All times are in ms.
+ */
 internal class CellController(
     private val vmScope: CoroutineScope,
     val cell: Cell,
@@ -52,6 +56,7 @@
     private val listener: CellListener,
     private val clock: Clock = Clock.System,
     private val rules: FleetRules = FleetRules(),
+    private val hasTask: (TaskRef) -> Boolean = { cell.hasTask(it) },
 ) {
     private val controllerJob = SupervisorJob(vmScope.coroutineContext[Job])
     private val scope = CoroutineScope(vmScope.coroutineContext + controllerJob)
@@ -68,28 +73,35 @@
     /** Wakes the lease loops of all workers, after workers were released. */
     fun wake() = wakeSignals.values.forEach { it.trySend(Unit) }
 
-    /** Starts [order] on a worker. Returns false if none has enough free capacity. */
+    /** Starts [order] on a worker. Returns false if none has enough free capacity, or if a run of the task is still in progress. */
     fun place(order: RunOrder): Boolean {
+        if (hasTask(order.task)) return false
         val placement = cell.place(order, clock.millis()) ?: return false
         scope.launch { start(placement) }
         return true
     }
 
     private suspend fun start(placement: Placement) {
-        val order = StartOrder(placement.order.run, placement.order.payload, placement.leaseUntilMs, cell.token)
+        val fresh = if (placement.isClockStale) withFreshLease(placement) else placement
         wakeSignals[placement.worker.id]?.trySend(Unit)
-        val outcome = answerOf(placement, order)
+        val outcome = if (fresh == null) StartOutcome.NotSent("the worker's clock could not be read") else answerOf(fresh)
         if (outcome !is StartOutcome.Started) {
-            log.info {
-                "event=start_not_confirmed ${order.run.logFields()} worker=${placement.worker.id} outcome=$outcome"
-            }
+            log.info { "event=start_not_confirmed ${placement.order.run.logFields()} worker=${placement.worker.id} outcome=$outcome" }
         }
         handle(cell.onStart(placement, outcome, clock.millis()))
         if (outcome is StartOutcome.Unknown) pollRuns(placement.worker.id)
     }
 
-    /** Sends [order]. Once the answer is overdue, the worker is asked for its list of runs; an answer that arrives later still counts. */
-    private suspend fun answerOf(placement: Placement, order: StartOrder): StartOutcome = coroutineScope {
+    /** Polls the worker, whose clock was last read long ago. Returns null if it does not answer. */
+    private suspend fun withFreshLease(placement: Placement): Placement? =
+        if (pollRuns(placement.worker.id)) cell.withFreshLease(placement, clock.millis()) else null
+
+    /**
+     * Sends the order of [placement]. Once the answer is overdue, the worker is asked for its list of runs; an answer that arrives later
+     * still counts.
+     */
+    private suspend fun answerOf(placement: Placement): StartOutcome = coroutineScope {
+        val order = StartOrder(placement.order.run, placement.order.payload, placement.leaseUntilMs, cell.token)
         val answer = async { timedStart(placement.worker, order) }
         val timelyAnswer = if (cell.responseTimes.areFast) withTimeoutOrNull(rules.overdueMs) { answer.await() } else answer.await()
         timelyAnswer ?: run {
@@ -118,17 +130,17 @@
 
     /** Stops the runs that [matches] selects. Returns how many these are. */
     fun stopRuns(matches: (RunOrder) -> Boolean): Int {
-        val stops = cell.stopRuns(matches)
+        val stops = cell.stopRuns(clock.millis(), matches)
         handle(stops)
         return stops.size
     }
 
-    /** Ends runs whose lease has expired. */
+    /** Repeats unconfirmed stops, and ends runs whose lease has expired. */
     fun tick() = handle(cell.tick(clock.millis()))
 
     /**
      * Stops all calls, because another VM owns the cell now. The runs are reported as lost after the longest time that a lease can last: by
-     * then the new owner has stopped them or their leases have expired.
+     * then the new owner has stopped them or their leases have expired, since it renews no lease for them.
      */
     fun abandon() {
         controllerJob.cancel()
@@ -152,11 +164,12 @@
 
     private suspend fun stop(worker: WorkerEntry, run: TaskRun) {
         val isConfirmed = port.stop(worker, run, cell.token, rules.answerMarginMs)
-        if (isConfirmed) {
-            handle(cell.onStopped(worker.id, run, clock.millis()))
-        } else {
+        if (!isConfirmed) {
             log.info { "event=stop_not_confirmed ${run.logFields()} worker=${worker.id}" }
+            return
         }
+        handle(cell.onStopped(worker.id, run, clock.millis()))
+        wakeSignals[worker.id]?.trySend(Unit)
     }
 
     private suspend fun leaseLoop(id: String, signal: Channel<Unit>) {
@@ -174,7 +187,8 @@
     }
 
     /** True for a call that only acknowledges ended runs. It may be delayed, to be combined with the call for the next run. */
-    private fun LeasePlan.isAcknowledgement() = call.leaseUntilMs == null && call.seenEnd > 0 && !cell.hasRuns(worker.id)
+    private fun LeasePlan.isAcknowledgement() =
+        call.leaseUntilMs == null && call.waitMs == 0 && call.seenEnd > 0 && !cell.hasRuns(worker.id)
 
     private suspend fun lease(plan: LeasePlan) {
         val fresh = cell.planLease(plan.worker.id, clock.millis()) ?: return
--- a/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
@@ -8,6 +8,7 @@
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.protocol.Clock
+import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.protocol.fleet.WorkerPort
 import dandelionpoint.protocol.peer.PeerLink
@@ -19,7 +20,7 @@
 
 private val log = KotlinLogging.logger {}
 
-/** The cell controllers of this VM. [workers] returns the current list of workers. */
+/** The cell controllers of this VM. [workers] returns the current list of workers; [heardAt] is that of the [Cell]s. */
 internal class OwnedCells(
     private val scope: CoroutineScope,
     private val port: WorkerPort,
@@ -28,6 +29,7 @@
     private val workers: () -> List<WorkerEntry>,
     private val clock: Clock,
     private val rules: FleetRules,
+    private val heardAt: (String) -> Long?,
 ) {
     private class HandedOver(val controller: CellController, val successor: VmIdentity?)
 
@@ -42,12 +44,15 @@
 
     private fun all() = controllers.values + handedOver.values.map { it.controller }
 
+    /** True while a run of [task] is, or may be, in progress on a worker of any cell. */
+    fun hasTask(task: TaskRef): Boolean = all().any { it.cell.hasTask(task) }
+
     /** Number of runs on the workers of all cells, including those that were handed over. */
     fun runCount(): Int = all().sumOf { it.cell.runCount() }
 
     /** Takes ownership of [cell] under [token]. Workers that a [formerOwner] still uses are free once it releases them. */
     fun gain(cell: String, token: Long, formerOwner: VmIdentity?) {
-        val controller = CellController(scope, Cell(cell, token, rules), port, listener, clock, rules)
+        val controller = CellController(scope, Cell(cell, token, rules, heardAt), port, listener, clock, rules, ::hasTask)
         if (formerOwner != null) {
             formerOwners[cell] = formerOwner
             controller.cell.awaitRelease(workersOf(cell).map { it.id }.toSet())
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/PeerLivenessTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/PeerLivenessTest.kt
@@ -4,11 +4,15 @@
 import dandelionpoint.protocol.peer.VmIdentity
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 
 private val PEER = VmIdentity("peer", "incarnation-peer", "north", "akl-a", "127.0.0.1", 1)
 
-/** Guards against peers that are taken for lost because this VM was paused, and against lost peers that are noticed too late. */
+/**
+ * Guards against peers that are taken for lost because this VM was paused, against lost peers that are noticed too late, and against
+ * leases that are renewed for a VM that is no longer there, because a pause of this process hid how long it was silent.
+ */
 internal class PeerLivenessTest :
     DescribeSpec({
         describe("a pause of this VM") {
@@ -27,4 +31,23 @@
                 liveness.removeLost(now = 4_701) shouldBe listOf(PEER)
             }
         }
+
+        describe("the time of the last heartbeat") {
+            it("is unknown before the first heartbeat and after the loss of the VM") {
+                val liveness = PeerLiveness(unresponsiveMs = 700)
+                liveness.heardAt(PEER.incarnation).shouldBeNull()
+                liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 10)
+                liveness.heardAt(PEER.incarnation) shouldBe 10
+                liveness.removeLost(now = 711) shouldBe listOf(PEER)
+                liveness.heardAt(PEER.incarnation).shouldBeNull()
+            }
+
+            it("is not changed by a pause of this process, after which the VM is declared lost later") {
+                val liveness = PeerLiveness(unresponsiveMs = 700)
+                liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 10)
+                liveness.onProcessPause(pauseMs = 500, now = 600)
+                liveness.removeLost(now = 1_100).shouldBeEmpty()
+                liveness.heardAt(PEER.incarnation) shouldBe 10
+            }
+        }
     })
