Limit leases by the last heartbeat of the client's VM too

What callers would see: as for the VM that dispatched a run: a run that goes on after its job was submitted again, when the VM of the client's connection is lost first and the dispatching VM up to 0.7 s later, before it has stopped the job's runs; or when those stops are lost.

Cause: only the heartbeats of the dispatching VM counted, and for the runs in its own cells that VM is always live.

Change: an order names the VM of the job's client, and the lease of its worker ends at most one lease after the last heartbeat from that VM. Ruled out: the same for remote runs, whose request does not name that VM; there it is the dispatching VM, as before.

Before: WorkerLeaseTest ... the VM that a client is connected to/is heard from no longer ... 1676 should be <= 1000 WorkerLeaseTest ... is named in the orders of its jobs ... expected:<vm-2> but was:<vm-1> After: these pass; 97 tests of ten classes, FleetVmTest, DispatchTest and StartOnceTest among them, passed.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
@@ -91,6 +91,7 @@
             maxPerWorker = step.maxPerWorker,
             avoid = task.avoid,
             hasFailed = task.hasFailedLast,
+            entryVm = entryVm,
         )
     }
 
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -24,10 +24,10 @@
     STOPPING,
 }
 
-/** A run on a worker. [orderedAt], [originHeardAt] and [listedAfter] are in ms on the VM's monotonic clock. */
+/** A run on a worker. [orderedAt], [lastHeartbeatAt] and [listedAfter] are in ms on the VM's monotonic clock. */
 internal class TrackedRun(val order: RunOrder, val orderedAt: Long) {
-    /** Time of the last heartbeat from the VM that dispatched the run. */
-    var originHeardAt = orderedAt
+    /** Time of the last heartbeat from the VM that dispatched the run, or from that of its client if that one is earlier. */
+    var lastHeartbeatAt = orderedAt
 
     var state = RunState.ORDERED
 
@@ -109,9 +109,9 @@
 
     /**
      * The longest lease, in ms, that a call sent at [now] may give to this worker. The lease ends at the latest one lease after the last
-     * heartbeat from each VM that dispatched a run here, and [FleetRules.unconfirmedStopMs] plus one lease after the request of a stop that
-     * is still unconfirmed. A run with a confirmed stop does not count. There is no renewal while an untracked run's stop is unconfirmed,
-     * so that the run ends with the lease that its former owner counts on.
+     * heartbeat from each VM that dispatched a run here or has its client, and [FleetRules.unconfirmedStopMs] plus one lease after the
+     * request of a stop that is still unconfirmed. A run with a confirmed stop does not count. There is no renewal while an untracked
+     * run's stop is unconfirmed, so that the run ends with the lease that its former owner counts on.
      */
     fun leaseLength(now: Long): Long {
         if (untrackedRuns.values.any { !it.stop.isConfirmed }) return 0
@@ -121,10 +121,13 @@
 
     /** The last heartbeat from a VM that has been lost since is still the one that counts. */
     private fun heartbeatLimit(run: TrackedRun): Long {
-        heardAt(run.order.origin)?.let { run.originHeardAt = it }
-        return run.originHeardAt + rules.leaseMs
+        lastHeartbeat(run.order)?.let { run.lastHeartbeatAt = it }
+        return run.lastHeartbeatAt + rules.leaseMs
     }
 
+    /** The earlier one of the last heartbeats from the VMs that want the run of [order], null if one of them is lost or unknown. */
+    private fun lastHeartbeat(order: RunOrder): Long? = min(heardAt(order.origin) ?: return null, heardAt(order.entryVm) ?: return null)
+
     /** Records that a call sent at [now] renews the lease for [lengthMs]. */
     fun extendLease(now: Long, lengthMs: Long) {
         grantedUntil = max(grantedUntil, now + lengthMs)
@@ -172,11 +175,11 @@
         free().covers(order.demand)
 
     /**
-     * A lease is never shortened, so a run is not started under one that reaches much further than its own VM's last heartbeat allows, nor
-     * for a VM that is lost or unknown.
+     * A lease is never shortened, so a run is not started under one that reaches much further than its own VMs' last heartbeats allow,
+     * nor for a VM that is lost or unknown.
      */
     private fun mayJoinLease(order: RunOrder, now: Long): Boolean {
-        val limit = (heardAt(order.origin) ?: return false) + rules.leaseMs
+        val limit = (lastHeartbeat(order) ?: return false) + rules.leaseMs
         return limit - now >= rules.shortestFirstLeaseMs && grantedUntil <= limit + rules.heartbeatDelayMs
     }
 
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/WorkerLeaseTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/WorkerLeaseTest.kt
@@ -80,6 +80,29 @@
             }
         }
 
+        describe("the VM that a client is connected to") {
+            // VMs lost in series: first the VM of the client, then the dispatching VM, which stops the runs when the first one is lost.
+            it("is heard from no longer: the lease is limited by its last heartbeat too, whether or not it dispatched the run") {
+                val heard = mutableMapOf(ORIGIN to 0L, "vm-2" to 0L)
+                val cell = cell { heard[it] }
+                cell.started(order().copy(entryVm = "vm-2"))
+                heard[ORIGIN] = 690
+                checkNotNull(cell.leaseUntil("w", now = 690)) shouldBeLessThanOrEqual RULES.leaseMs
+                cell.place(order("b").copy(entryVm = "vm-3"), now = 690).shouldBeNull()
+            }
+
+            // The dispatching VM passes it on with each run.
+            it("is named in the orders of its jobs") {
+                val dispatch = Dispatch(ORIGIN)
+                val orders = mutableListOf<RunOrder>()
+                dispatch.submit(Submission(job("a"), queue(), "vm-2", arrivedAt = 0, deadlineAt = 3_000), poolCores = 16.0, now = 0) {
+                    orders += it
+                    null
+                }
+                orders.map { it.origin to it.entryVm } shouldBe listOf(ORIGIN to "vm-2")
+            }
+        }
+
         describe("a run with an unconfirmed stop") {
             // Orders to workers can be lost in series, or be carried out seconds late.
             it("is stopped again until the worker confirms it") {
