--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -120,8 +120,7 @@
     /** Cores by pool of the workers that are usable or only await their first run list, for estimates of the waiting time. */
     fun cores(): Map<String, Int> = synchronized(lock) {
         workers.values.filter { it.isUsable() || it.isAwaitingRunList() }.groupBy { it.entry.pool }.mapValues { (_, same) ->
-            same.sumOf { it.entry.capacity.cpuMilli } /
-                MILLI
+            (same.sumOf { it.entry.capacity.cpuMilli.toLong() } / MILLI).toInt()
         }
     }
 
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -154,15 +154,24 @@
     }
 
     /**
-     * Applies the end of the run [key]. [avoid] is the worker that it was on, which the next run of the task avoids; empty if that worker is
-     * unknown, null if the run was remote and the other VM gave no answer.
+     * Applies the end of the run [key]. [avoid] is the worker that it was on, which the next run of the task avoids; empty if that worker
+     * is unknown, null if the run was remote and the other VM gave no answer.
      */
     fun onRunEnd(key: RunKey, end: RunEnd, avoid: String?, now: Long): List<DispatchEvent> = synchronized(lock) {
         val isReported = avoid != null || end == RunEnd.NOT_STARTED
         stopping.onEnd(key, endsAt = if (isReported) now else now + rules.lostRemoteRunDelayMs)
-        val run = key.run
-        val job = jobs[run.task.jobId]?.takeIf { it.dispatch == key.dispatch } ?: return@synchronized emptyList()
-        val task = job.task(run.task)?.takeIf { it.run == run.run && it.location != null } ?: return@synchronized emptyList()
+        val job = jobs[key.run.task.jobId]?.takeIf { it.dispatch == key.dispatch } ?: return@synchronized emptyList()
+        val task = job.task(key.run.task)?.takeIf { it.run == key.run.run && it.location != null } ?: return@synchronized emptyList()
+        recordEnd(task, end, avoid, now)
+        when {
+            job.isDone -> finish(job, JobOutcome.Completed, now)
+            task.failures >= job.queue.maxAttempts -> finish(job, JobOutcome.Failed, now)
+            task.notBefore >= job.deadlineAt -> finish(job, JobOutcome.GivenUp("a run was lost with another VM"), now)
+            else -> emptyList()
+        }
+    }
+
+    private fun recordEnd(task: DispatchedTask, end: RunEnd, avoid: String?, now: Long) {
         val wasRemote = task.location is RunLocation.Remote
         task.location = null
         task.hasFailedLast = end == RunEnd.FAILED
@@ -184,12 +193,6 @@
                 task.notBefore = now + NOT_STARTED_DELAY_MS
             }
         }
-        when {
-            job.isDone -> finish(job, JobOutcome.Completed, now)
-            task.failures >= job.queue.maxAttempts -> finish(job, JobOutcome.Failed, now)
-            task.notBefore >= job.deadlineAt -> finish(job, JobOutcome.GivenUp("a run was lost with another VM"), now)
-            else -> emptyList()
-        }
     }
 
     /**
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -110,8 +110,8 @@
     /**
      * The longest lease, in ms, that a call sent at [now] may give to this worker. The lease ends at the latest one lease after the last
      * heartbeat from each VM that dispatched a run here or has its client, and [FleetRules.unconfirmedStopMs] plus one lease after the
-     * request of a stop that is still unconfirmed. A run with a confirmed stop does not count. There is no renewal while an untracked run's stop is unconfirmed,
-     * so that the run ends with the lease that its former owner counts on.
+     * request of a stop that is still unconfirmed. A run with a confirmed stop does not count. There is no renewal while an untracked
+     * run's stop is unconfirmed, so that the run ends with the lease that its former owner counts on.
      */
     fun leaseLength(now: Long): Long {
         if (untrackedRuns.values.any { !it.stop.isConfirmed }) return 0
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -20,6 +20,7 @@
 import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.QueueRoute
 import dandelionpoint.protocol.fleet.RunEnd
+import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.millis
 import dandelionpoint.protocol.peer.CancelAnswer
 import dandelionpoint.protocol.peer.CellHandover
@@ -185,6 +186,8 @@
 
         override fun peer(incarnation: String): VmIdentity? = liveness.live().firstOrNull { it.vm.incarnation == incarnation }?.vm
 
+        override fun hasTask(task: TaskRef): Boolean = cells.hasTask(task)
+
         override fun stopRun(key: RunKey) = cells.stopRun(key)
     }
 
@@ -233,30 +236,34 @@
 
     private suspend fun handle(from: VmIdentity, message: PeerMessage): PeerMessage? {
         admission.check()
-        when (message) {
-            is FleetHeartbeat -> onHeartbeat(from, message)
-
-            is JobOffer -> return dispatchFor(from, message)
+        return when (message) {
+            is JobOffer -> dispatchFor(from, message)
 
             is JobCancel -> {
                 runner.cancel(AttemptKey(from.incarnation, message.jobId, message.attempt))
-                return CancelAnswer
+                CancelAnswer
             }
 
             // Without an answer, the sender repeats the request if it still waits. The run may have started before the pause.
-            is RemoteRunRequest -> return if (admission.acceptsPeers()) remoteRuns.run(from, message) else null
-
-            is RunCancel -> return remoteRuns.cancel(RunKey(from.incarnation, message.dispatch, message.run))
-
-            is CellHandover -> claims.handover(message.cell, from)
+            is RemoteRunRequest -> if (admission.acceptsPeers()) remoteRuns.run(from, message) else null
 
-            is WorkersReleased -> onWorkersReleased(message)
+            is RunCancel -> remoteRuns.cancel(RunKey(from.incarnation, message.dispatch, message.run))
 
-            is PeerMessage.ConfigPull -> return tables.configuration?.let { PeerMessage.ConfigChanges(it.version, it.document) }
+            is PeerMessage.ConfigPull -> tables.configuration?.let { PeerMessage.ConfigChanges(it.version, it.document) }
 
-            else -> log.warn { "event=unexpected_message peer=${from.name} type=${message::class.simpleName}" }
+            else -> {
+                receive(from, message)
+                null
+            }
         }
-        return null
+    }
+
+    /** Handles a message that has no reply. */
+    private fun receive(from: VmIdentity, message: PeerMessage) = when (message) {
+        is FleetHeartbeat -> onHeartbeat(from, message)
+        is CellHandover -> claims.handover(message.cell, from)
+        is WorkersReleased -> onWorkersReleased(message)
+        else -> log.warn { "event=unexpected_message peer=${from.name} type=${message::class.simpleName}" }
     }
 
     private suspend fun dispatchFor(from: VmIdentity, offer: JobOffer): JobAnswer {
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -16,6 +16,7 @@
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.fleet.RunEnd
+import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.millis
 import dandelionpoint.protocol.peer.PeerLink
 import dandelionpoint.protocol.peer.PeerMessage
@@ -45,6 +46,9 @@
     /** The live peer with [incarnation], or null. */
     fun peer(incarnation: String): VmIdentity?
 
+    /** True if a run of [task], dispatched by any VM, may be in progress in the cells of this VM. */
+    fun hasTask(task: TaskRef): Boolean
+
     /** Stops a run of this VM's jobs in its own cells. */
     fun stopRun(key: RunKey)
 }
@@ -93,6 +97,8 @@
     }
 
     private fun place(order: RunOrder): RunLocation? {
+        // A run of the task that another VM dispatched may still be in progress in a cell of this VM.
+        if (view.hasTask(order.task)) return null
         view.controllers().firstOrNull { it.place(order) }?.let { return RunLocation.Local(it.cell.name) }
         val (vm, location) = remote.reserve(order) ?: return null
         val run = RemoteRun(order, vm, location.cell)
@@ -227,7 +233,7 @@
         /** Pause before a request to stop a remote run is repeated, in ms. */
         const val CANCEL_RETRY_MS = 50L
 
-        /** How long a remote run is asked to stop, in ms: longer than its owner takes to declare this VM lost and to stop the run itself. */
+        /** How long a remote run is asked to stop, in ms: longer than its owner takes to declare this VM lost. */
         const val CANCEL_PERIOD_MS = 3_000L
     }
 }
--- a/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
@@ -48,7 +48,7 @@
 @SerialName("JobOffer")
 data class JobOffer(val job: FleetJob, val queue: JobQueue, val ageMs: Long, val remainingMs: Long, val attempt: Long = 0) : FleetMessage
 
-/** Reply to [JobOffer]. Without an [outcome], its sender is stopping and has not accepted the job. */
+/** Reply to [JobOffer]. Without an [outcome], its sender is stopping or was paused, and has not accepted the job. */
 @Serializable
 @SerialName("JobAnswer")
 data class JobAnswer(val outcome: JobOutcome? = null) : FleetMessage
--- a/src/test/kotlin/dandelionpoint/fleet/CancellationTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/CancellationTest.kt
@@ -14,6 +14,7 @@
 import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.JobStep
 import dandelionpoint.protocol.fleet.RunEnd
+import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.peer.CancelAnswer
 import dandelionpoint.protocol.peer.CellStatus
 import dandelionpoint.protocol.peer.FleetHeartbeat
@@ -69,6 +70,8 @@
 
     override fun peer(incarnation: String): VmIdentity? = CELL_OWNER.takeIf { isOwnerLive }
 
+    override fun hasTask(task: TaskRef) = false
+
     override fun stopRun(key: RunKey) = Unit
 }
 
--- a/src/test/kotlin/dandelionpoint/fleet/JobForwarderTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/JobForwarderTest.kt
@@ -7,6 +7,7 @@
 import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.JobStep
+import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.peer.JobAnswer
 import dandelionpoint.protocol.peer.PeerLink
 import dandelionpoint.protocol.peer.PeerMessage
@@ -38,6 +39,8 @@
 
     override fun peer(incarnation: String): VmIdentity? = null
 
+    override fun hasTask(task: TaskRef) = false
+
     override fun stopRun(key: RunKey) = Unit
 }
 
