Dispatch a job here only when its dispatching VM is lost

Cause, inferred from the code, the log has no line for it: an offer that could not be sent, because the connection to the dispatching VM was just down, made the entry VM dispatch the job itself, while the same job reached the dispatching VM through another one. Change: while the dispatching VM is live, the offer is repeated until the connection is back; the job is dispatched here only when that VM is lost, and refused as not run if neither happens in time.

--- a/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
@@ -70,7 +70,10 @@
         return offer(submission, attempt, owner) ?: runner.run(submission)
     }
 
-    /** Offers the job to [owner] and returns its outcome; null if [owner] certainly did not accept the job. */
+    /**
+     * Offers the job to [owner] and returns its outcome; null if [owner] certainly did not accept the job. While [owner] is live, an offer
+     * that cannot be sent is repeated: the same job may reach it through another VM, and must not be dispatched by two.
+     */
     private suspend fun offer(submission: Submission, attempt: Attempt, owner: VmIdentity): JobOutcome? {
         var mayHaveArrived = false
         while (clock.millis() < submission.deadlineAt && !attempt.isCancelled) {
@@ -82,7 +85,7 @@
                     return if (isNotRun && mayHaveArrived) JobOutcome.GivenUp("an offer to the dispatching VM was lost") else outcome
                 }
 
-                is PeerReply.NotSent -> if (!mayHaveArrived) return null
+                is PeerReply.NotSent -> if (!mayHaveArrived && !isLive(owner)) return null
 
                 is PeerReply.Lost -> {
                     mayHaveArrived = true
@@ -92,10 +95,13 @@
             if (!isLive(owner)) break
             delay(RETRY_MS)
         }
-        if (mayHaveArrived) cancelAt(owner, attempt.key)
+        if (!mayHaveArrived) return notRun()
+        cancelAt(owner, attempt.key)
         return JobOutcome.GivenUp("the client or the dispatching VM was lost, or the client's deadline has passed")
     }
 
+    private fun notRun() = JobOutcome.NotRun("the dispatching VM could not be reached", RETRY_AFTER_MS)
+
     private fun offerOf(submission: Submission): JobOffer {
         val now = clock.millis()
         return with(submission) { JobOffer(job, queue, ageMs = now - arrivedAt, remainingMs = deadlineAt - now, attempt = number) }
@@ -131,6 +137,9 @@
         const val ANSWER_MARGIN_MS = 300L
         const val RETRY_MS = 120L
 
+        /** Time after which a client may submit a job again that could not be offered, in ms. */
+        const val RETRY_AFTER_MS = 1_000L
+
         /** Longest wait for the answer to a cancellation, before it is repeated, in ms. */
         const val CANCEL_TIMEOUT_MS = 200L
 
--- a/src/test/kotlin/dandelionpoint/fleet/CancellationTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/CancellationTest.kt
@@ -19,6 +19,7 @@
 import dandelionpoint.protocol.peer.CellStatus
 import dandelionpoint.protocol.peer.FleetHeartbeat
 import dandelionpoint.protocol.peer.FreeCapacity
+import dandelionpoint.protocol.peer.JobAnswer
 import dandelionpoint.protocol.peer.JobCancel
 import dandelionpoint.protocol.peer.JobOffer
 import dandelionpoint.protocol.peer.PeerLink
@@ -208,5 +209,52 @@
                     }
                 }
             }
+
+            // Guards against two VMs that dispatch one job: its client sent it again, through another VM, when its connection was reset
+            // together with the connections between the VMs.
+            it("is offered again, not dispatched here, while its dispatching VM is live but the connection to it is down") {
+                runTest {
+                    val link = RecordingLink { message, count ->
+                        when {
+                            message is JobOffer && count < 3 -> PeerReply.NotSent("no connection")
+                            message is JobOffer -> PeerReply.Answered(JobAnswer(JobOutcome.Completed))
+                            else -> LOST
+                        }
+                    }
+                    DispatchingVm(this, link).use {
+                        forwarder.run(JOB, QUEUE, waitMs = 1_500) shouldBe JobOutcome.Completed
+                        link.count<JobOffer>() shouldBe 3
+                        link.count<RemoteRunRequest>() shouldBe 0
+                    }
+                }
+            }
+
+            it("is dispatched here when its dispatching VM is lost before it was offered") {
+                runTest {
+                    val link = RecordingLink { message, _ ->
+                        when (message) {
+                            is JobOffer -> PeerReply.NotSent("no connection")
+                            else -> PeerReply.Answered(RunAnswer(RunEnd.DONE))
+                        }
+                    }
+                    val view = OnlyRemoteCells()
+                    DispatchingVm(this, link, view).use {
+                        scope.launch {
+                            delay(300)
+                            view.isOwnerLive = false
+                        }
+                        forwarder.run(JOB, QUEUE, waitMs = 1_500) shouldBe JobOutcome.Completed
+                    }
+                }
+            }
+
+            it("is refused as not run when it could not be offered in time") {
+                runTest {
+                    val link = RecordingLink { _, _ -> PeerReply.NotSent("no connection") }
+                    DispatchingVm(this, link).use {
+                        (forwarder.run(JOB, QUEUE, waitMs = 1_500) is JobOutcome.NotRun) shouldBe true
+                    }
+                }
+            }
         }
     })
