Check and record an early cancellation of a remote run in one step

A request and its cancellation that are read together, as after a short pause, are handled by two coroutines. Between the check that the run is unknown and the record that refuses it, the request could start the run; the cancellation then reported it as not started while it went on, and the dispatching VM would start the task again.

--- a/src/main/kotlin/dandelionpoint/fleet/RemoteRunServer.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/RemoteRunServer.kt
@@ -58,16 +58,17 @@
     suspend fun cancel(key: RunKey): RunAnswer {
         val run = synchronized(lock) {
             recentEnds[key]?.let { return RunAnswer(it) }
-            open[key]?.also { it.isCancelled = true }
-        }
-        if (run == null) {
-            ended(key, RunEnd.NOT_STARTED)
-            return RunAnswer(RunEnd.NOT_STARTED)
+            open[key]?.also { it.isCancelled = true } ?: return refuseLaterRequest(key)
         }
         stopRun(key)
         return RunAnswer(run.end.await())
     }
 
+    private fun refuseLaterRequest(key: RunKey): RunAnswer {
+        recordEnd(key, RunEnd.NOT_STARTED)
+        return RunAnswer(RunEnd.NOT_STARTED)
+    }
+
     private fun order(from: VmIdentity, request: RemoteRunRequest) = with(request) {
         RunOrder(
             run, from.incarnation, pool, payload, demand, estimateMs, requiredLabel, rack, maxPerWorker,
@@ -77,14 +78,18 @@
 
     /** The run [key] has ended. */
     fun ended(key: RunKey, end: RunEnd) {
-        val now = clock.millis()
         val run = synchronized(lock) {
-            recentEnds.put(key, end, now + END_KEPT_MS, now)
+            recordEnd(key, end)
             open.remove(key)
         }
         run?.end?.complete(end)
     }
 
+    private fun recordEnd(key: RunKey, end: RunEnd) {
+        val now = clock.millis()
+        recentEnds.put(key, end, now + END_KEPT_MS, now)
+    }
+
     private companion object {
         /** How long the end of a run is kept, in ms: longer than a request or its cancellation can be on its way. */
         const val END_KEPT_MS = 10_000L
