Let the peer of the pause tests send heartbeats

The peer sends heartbeats, and each case first waits until a run for the peer has started. No expectation has changed.

--- a/src/test/kotlin/dandelionpoint/fleet/FleetVmPauseTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/FleetVmPauseTest.kt
@@ -7,11 +7,13 @@
 import dandelionpoint.protocol.fleet.RunEnd
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.TaskRun
+import dandelionpoint.protocol.peer.FleetHeartbeat
 import dandelionpoint.protocol.peer.JobOffer
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.PeerReply
 import dandelionpoint.protocol.peer.RemoteRunRequest
 import dandelionpoint.protocol.peer.RunAnswer
+import dandelionpoint.protocol.peer.RunCancel
 import dandelionpoint.protocol.peer.VmIdentity
 import dandelionpoint.standin.fleet.InProcessFleet
 import dandelionpoint.standin.fleet.MemoryWorkers
@@ -33,6 +35,8 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.serialization.json.Json
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -71,7 +75,29 @@
         identity = Json.decodeFromString(VmIdentity.serializer(), checkNotNull(fleet.store.value("vms", "vm")).decodeToString())
         peer.connect(PeerAddress(identity.host, identity.port))
         eventually(5.seconds) { peer.connected() shouldContain identity }
+        scope.launch { sendHeartbeats() }
         awaitCapacity()
+        awaitRunsOfPeer()
+    }
+
+    /** The VM starts nothing for a peer from which it hears nothing. */
+    private suspend fun sendHeartbeats() {
+        while (true) {
+            peer.send(identity, FleetHeartbeat())
+            delay(HEARTBEAT_MS)
+        }
+    }
+
+    /** Waits until the VM starts runs for the peer. Without that, a test that expects no start could not fail. */
+    private suspend fun awaitRunsOfPeer() {
+        var number = PEER_WARM_UP_ID
+        eventually(10.seconds) {
+            val request = remoteRun(++number)
+            call(request)
+            eventually(1.seconds) { starts(number) shouldHaveSize 1 }
+            call(RunCancel(request.run, request.dispatch)).await()
+        }
+        eventually(5.seconds) { fleet.workers.starts().all { it.endedAt != null }.shouldBeTrue() }
     }
 
     /** Waits until the workers accept runs. Repeated because a real pause of this process makes the VM refuse the job. */
@@ -111,6 +137,10 @@
     private companion object {
         /** Number of the first job that is run to find out if the workers accept runs. */
         const val WARM_UP_ID = 1_000
+
+        /** The same for the first remote run. */
+        const val PEER_WARM_UP_ID = 2_000
+        const val HEARTBEAT_MS = 50L
     }
 }
 
