Cancel a submission by a signal of its own

A disconnection was passed on by job id. One that the poll saw before the job was registered found nothing and was lost: the job ran although nobody waited for it, while its client sent it again. One of an old connection also ended a newer submission of the same job at the same VM. Each submission now has a CancellationSignal that exists before its connection is watched. DELETE still ends all submissions of a job. Tests: two new cases of CancellationTest.

--- a/src/main/kotlin/dandelionpoint/fleet/FleetJobService.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetJobService.kt
@@ -18,10 +18,10 @@
     /** The route of a request, or null if the configuration has none for it. */
     fun route(host: String, path: String): QueueRoute?
 
-    /** Runs a job whose client waits for [waitMs] ms. When the client disconnects, the caller calls [cancel]. */
-    suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long): JobOutcome
+    /** Runs a job whose client waits for [waitMs] ms. When the client disconnects, the caller cancels [signal], at any time. */
+    suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long, signal: CancellationSignal = CancellationSignal()): JobOutcome
 
-    /** Ends a job because its client has disconnected or asked for it. Returns false if this VM has no such job in progress. */
+    /** Ends a job because its client has asked for it. Returns false if this VM has no such job in progress. */
     fun cancel(jobId: String): Boolean
 
     /** True if a job that was submitted to this VM is in progress. */
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -140,9 +140,9 @@
 
     override fun route(host: String, path: String): QueueRoute? = tables.configuration?.route(host, path)
 
-    override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long): JobOutcome {
+    override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long, signal: CancellationSignal): JobOutcome {
         val refusal = admission.refuseClient()
-        return if (refusal != null && !forwarder.has(job.id)) refusal else forwarder.run(job, queue, waitMs)
+        return if (refusal != null && !forwarder.has(job.id)) refusal else forwarder.run(job, queue, waitMs, signal)
     }
 
     override fun cancel(jobId: String): Boolean = forwarder.cancel(jobId)
--- a/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
@@ -47,12 +47,14 @@
 
     fun has(jobId: String): Boolean = attempts.keys.any { it.jobId == jobId }
 
-    suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long): JobOutcome {
+    /** Runs a job whose client waits for [waitMs] ms, until [signal] is cancelled. */
+    suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long, signal: CancellationSignal = CancellationSignal()): JobOutcome {
         val arrivedAt = clock.millis()
         val arrivedWallMs = clock.wallMs()
         val submission = Submission(job, queue, self().incarnation, arrivedAt, arrivedAt + waitMs, lastNumber.incrementAndGet())
         val attempt = Attempt(submission.attempt)
         attempts[attempt.key] = attempt
+        signal.onCancel { cancel(attempt) }
         try {
             val outcome = dispatch(submission, attempt)
             // The monotonic clock does not advance while the VM is suspended; the wall clock does.
@@ -107,18 +109,20 @@
         return with(submission) { JobOffer(job, queue, ageMs = now - arrivedAt, remainingMs = deadlineAt - now, attempt = number) }
     }
 
-    /** Ends the attempts of a job because its client has disconnected or asked for it. Returns false if there are none in progress. */
+    /** Ends the attempts of a job because a client has asked for it. Returns false if there are none in progress. */
     fun cancel(jobId: String): Boolean {
         val ofJob = attempts.values.filter { it.key.jobId == jobId }
-        ofJob.forEach { attempt ->
-            attempt.isCancelled = true
-            log.info { "event=job_cancelled job=$jobId dispatcher=${attempt.dispatcher?.name}" }
-            attempt.dispatcher?.let { cancelAt(it, attempt.key) }
-            runner.cancel(attempt.key)
-        }
+        ofJob.forEach { cancel(it) }
         return ofJob.isNotEmpty()
     }
 
+    private fun cancel(attempt: Attempt) {
+        attempt.isCancelled = true
+        log.info { "event=job_cancelled job=${attempt.key.jobId} dispatcher=${attempt.dispatcher?.name}" }
+        attempt.dispatcher?.let { cancelAt(it, attempt.key) }
+        runner.cancel(attempt.key)
+    }
+
     /** Tells [dispatcher] that no client waits for [attempt], until it confirms it. */
     private fun cancelAt(dispatcher: VmIdentity, attempt: AttemptKey) {
         scope.launch {
--- a/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
@@ -1,6 +1,7 @@
 /* The platform's HTTP interface for clients: jobs, by their path below a queue's prefix, and the readiness check. */
 package dandelionpoint.platform
 
+import dandelionpoint.fleet.CancellationSignal
 import dandelionpoint.fleet.FleetJobService
 import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.fleet.QueueRoute
@@ -113,12 +114,13 @@
 
     private fun run(context: Context, route: QueueRoute, body: SubmittedBody.BestEffort) {
         val waitMs = (context.header("Deadline-Remaining-Ms")?.toLongOrNull() ?: DEFAULT_WAIT_MS).coerceIn(0, MAX_WAIT_MS)
-        val entry = watch.watch(context.req()) { service.cancel(body.job.id) }
+        val signal = CancellationSignal()
+        val entry = watch.watch(context.req()) { signal.cancel() }
             ?: return sendError(context, UNAVAILABLE, "not run: the client has disconnected")
         context.future {
             scope.future {
                 try {
-                    service.run(body.job, route.queue, waitMs)
+                    service.run(body.job, route.queue, waitMs, signal)
                 } finally {
                     entry.end()
                 }
--- a/src/test/kotlin/dandelionpoint/fleet/CancellationTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/CancellationTest.kt
@@ -256,5 +256,39 @@
                     }
                 }
             }
+
+            // Guards against a job that nobody waits for: the disconnection was seen before the VM had registered the job, and got lost.
+            it("whose client has disconnected before the job was registered is neither offered nor started") {
+                runTest {
+                    val link = RecordingLink { _, _ -> PeerReply.Answered(CancelAnswer) }
+                    DispatchingVm(this, link).use {
+                        val signal = CancellationSignal().apply { cancel() }
+                        (forwarder.run(JOB, QUEUE, waitMs = 1_500, signal) is JobOutcome.NotRun) shouldBe true
+                        link.count<JobOffer>() shouldBe 0
+                        link.count<RemoteRunRequest>() shouldBe 0
+                    }
+                }
+            }
+
+            // Guards against a disconnection that ends the submission with which the same client has replaced the broken one.
+            it("goes on when the client of another submission of the same job disconnects") {
+                runTest {
+                    val link = RecordingLink { message, _ ->
+                        if (message is JobOffer) delay(400)
+                        PeerReply.Answered(if (message is JobOffer) JobAnswer(JobOutcome.Completed) else CancelAnswer)
+                    }
+                    DispatchingVm(this, link).use {
+                        val first = CancellationSignal()
+                        scope.launch { forwarder.run(JOB, QUEUE, waitMs = 1_500, first) }
+                        scope.launch {
+                            delay(100)
+                            first.cancel()
+                        }
+                        delay(50)
+                        forwarder.run(JOB, QUEUE, waitMs = 1_500) shouldBe JobOutcome.Completed
+                        link.messages.filterIsInstance<JobCancel>().map { it.attempt } shouldBe listOf(1L)
+                    }
+                }
+            }
         }
     })
--- a/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
@@ -1,5 +1,6 @@
 package dandelionpoint.platform
 
+import dandelionpoint.fleet.CancellationSignal
 import dandelionpoint.fleet.FleetJobService
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.fleet.FleetJob
@@ -50,7 +51,8 @@
         return if (host == "h" && path.startsWith("/q/")) QueueRoute("h", "/q/", JobQueue("q", "p")) else null
     }
 
-    override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long): JobOutcome {
+    override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long, signal: CancellationSignal): JobOutcome {
+        signal.onCancel { cancel(job.id) }
         started.incrementAndGet()
         lastWaitMs = waitMs
         return outcome.await()
