Start the runs of a joined job again when its first client's VM is lost

The leases of a run depend on the VM of the client that submitted its job first. If that VM was lost while another client waited for the job, the lease of the whole worker ran out after a second, with the runs of other jobs on it. Found by review. The runs of such a job are now stopped and started again under the remaining client's VM; ResubmissionTest has the case, which fails without the stops by what it expects (a single StopRun).

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -212,11 +212,16 @@
         }
     }
 
-    /** Ends the attempts whose client was connected to the VM with the incarnation [vm]. */
+    /**
+     * Ends the attempts whose client was connected to the VM with the incarnation [vm]. The runs of a job that goes on for other clients
+     * are stopped and started again, since the leases of those that depend on [vm] are no longer renewed.
+     */
     fun cancelFrom(vm: String, now: Long): List<DispatchEvent> = synchronized(lock) {
         jobs.values.toList().flatMap { job ->
             val lost = job.attempts.filter { it.entryVm == vm }.toSet()
-            if (lost.isEmpty()) emptyList() else leave(job, lost, JobOutcome.GivenUp("the client's VM was lost"), now)
+            if (lost.isEmpty()) return@flatMap emptyList()
+            val left = leave(job, lost, JobOutcome.GivenUp("the client's VM was lost"), now)
+            if (job.job.id in jobs) left + stops(job) else left
         }
     }
 
@@ -234,13 +239,15 @@
 
     private fun finish(job: DispatchedJob, outcome: JobOutcome, now: Long): List<DispatchEvent> {
         jobs.remove(job.job.id)
-        val stops = job.placed().map {
-            DispatchEvent.StopRun(RunKey(origin, job.dispatch, TaskRun(it.ref, it.run)), checkNotNull(it.location))
-        }
+        val stops = stops(job)
         stops.forEach { stopping.add(it.key) }
         return stops + answer(job.job.id, job.attempts.toSet(), outcome, now)
     }
 
+    private fun stops(job: DispatchedJob) = job.placed().map {
+        DispatchEvent.StopRun(RunKey(origin, job.dispatch, TaskRun(it.ref, it.run)), checkNotNull(it.location))
+    }
+
     private fun answer(jobId: String, attempts: Set<AttemptKey>, outcome: JobOutcome, now: Long): DispatchEvent {
         attempts.forEach { answers.put(it, outcome, now + ANSWER_KEPT_MS, now) }
         return DispatchEvent.Finished(jobId, outcome, attempts.toSet())
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/ResubmissionTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/ResubmissionTest.kt
@@ -82,9 +82,23 @@
                 dispatch.submit(submission(1, now = 100, entryVm = "vm-3"), CORES, 100, placer).shouldBeEmpty()
                 val first = dispatch.cancelFrom("vm-2", now = 200)
                 first.answers().single().attempts shouldBe setOf(submission(1).attempt)
-                first.filterIsInstance<DispatchEvent.StopRun>().shouldBeEmpty()
-                dispatch.cancelFrom("vm-3", now = 300).filterIsInstance<DispatchEvent.StopRun>() shouldHaveSize 1
+                dispatch.size() shouldBe 1
+                dispatch.cancelFrom("vm-3", now = 300).answers().single().attempts shouldBe setOf(submission(1, entryVm = "vm-3").attempt)
+                dispatch.size() shouldBe 0
+            }
+
+            // Guards against a worker whose lease runs out for all of its runs, because one depends on a lost VM whose client has gone on.
+            it("starts its runs again for the other client's VM when the first client's VM is lost") {
+                val dispatch = Dispatch(ORIGIN)
+                val placer = RecordingPlacer()
+                dispatch.submit(submission(1), CORES, 0, placer)
+                dispatch.submit(submission(1, now = 100, entryVm = "vm-3"), CORES, 100, placer)
+                val stop = dispatch.cancelFrom("vm-2", now = 200).filterIsInstance<DispatchEvent.StopRun>().single()
+                dispatch.schedule(210, placer)
                 placer.placed shouldHaveSize 1
+                dispatch.onRunEnd(stop.key, RunEnd.LOST, "w", 220)
+                dispatch.schedule(220, placer)
+                placer.placed.map { it.entryVm } shouldBe listOf("vm-2", "vm-3")
             }
         }
 
