--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -6,12 +6,10 @@
  */
 package dandelionpoint.coordination.fleet
 
-import dandelionpoint.protocol.fleet.EndedRow
 import dandelionpoint.protocol.fleet.LeaseReport
 import dandelionpoint.protocol.fleet.RunEnd
 import dandelionpoint.protocol.fleet.RunningRow
 import dandelionpoint.protocol.fleet.StartOutcome
-import dandelionpoint.protocol.fleet.StartRefusal
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
@@ -101,8 +99,12 @@
 
     fun workerIds(): Set<String> = synchronized(lock) { workers.keys.toSet() }
 
-    /** Workers without runs. */
-    fun idleWorkerIds(): Set<String> = synchronized(lock) { workers.values.filter { it.runs.isEmpty() }.map { it.entry.id }.toSet() }
+    /** Workers without runs of this owner or of a former one. */
+    fun idleWorkerIds(): Set<String> =
+        synchronized(lock) { workers.values.filter { it.runs.isEmpty() && it.isReleased }.map { it.entry.id }.toSet() }
+
+    /** True while a former owner may have runs on a worker. */
+    fun isAwaitingRelease(): Boolean = synchronized(lock) { workers.values.any { !it.isReleased } }
 
     fun runCount(): Int = synchronized(lock) { workers.values.sumOf { it.runs.size } }
 
@@ -128,21 +130,26 @@
     fun hasTask(task: TaskRef): Boolean = synchronized(lock) { workers.values.any { it.hasTask(task) } }
 
     /**
-     * Chooses a worker for [order] and reserves capacity there. Returns null if the run fits on no worker. A task has at most one run in
-     * the cell: it is not started while another run of it is tracked or listed, of an earlier submission of its job for example.
+     * Chooses a worker other than [excluded] for [order] and reserves capacity there. Returns null if the run fits on no worker. A task has
+     * at most one run in the cell: it is not started while another run of it is tracked or listed, of an earlier submission of its job for
+     * example.
      */
-    fun place(order: RunOrder, now: Long): Placement? = synchronized(lock) {
+    fun place(order: RunOrder, now: Long, excluded: String? = null): Placement? = synchronized(lock) {
         if (!acceptsRuns || hasTask(order.task)) return@synchronized null
-        val excluded = order.avoid?.takeIf {
-            order.hasFailed && workers.values.any { it.entry.id != order.avoid && it.couldRun(order, now) }
-        }
-        val worker = workers.values.filter { it.entry.id != excluded && it.fits(order, now) }.minByOrNull { it.cost(order) }
-            ?: return@synchronized null
+        val worker = workers.values.choose(order, now, excluded) ?: return@synchronized null
         val run = TrackedRun(order, now)
         worker.runs[order.task] = run
         leases.placement(worker, order, now)
     }
 
+    /** The cost of [order] on the worker that [place] would choose, null if the run fits on no worker. A smaller cost is better. */
+    fun cost(order: RunOrder, now: Long, excluded: String?): Long? = synchronized(lock) {
+        if (!acceptsRuns || hasTask(order.task)) null else workers.values.choose(order, now, excluded)?.cost(order)
+    }
+
+    /** True if a worker other than the one to avoid can run [order], now or after other runs have ended. */
+    fun couldRunElsewhere(order: RunOrder, now: Long): Boolean = synchronized(lock) { workers.values.canRunElsewhere(order, now) }
+
     /** [placement] with a lease from the clock that a poll has just read, or null if there is no fresh reading or no such run any more. */
     fun withFreshLease(placement: Placement, now: Long): Placement? = synchronized(lock) {
         val worker = workers[placement.worker.id]?.takeIf { it.isUsable() && !it.isClockStale(now) } ?: return@synchronized null
@@ -161,11 +168,11 @@
                 emptyList()
             }
 
-            is StartOutcome.Refused -> onRefused(worker, run, outcome.refusal, now)
+            is StartOutcome.Refused -> worker.onRefused(run, outcome.refusal, now)
 
             is StartOutcome.NotSent -> {
                 worker.health.eject(now, UNREACHABLE_MS)
-                listOf(end(worker, run, RunEnd.NOT_STARTED))
+                listOf(worker.end(run, RunEnd.NOT_STARTED))
             }
 
             is StartOutcome.Unknown -> {
@@ -176,17 +183,6 @@
         }
     }
 
-    private fun onRefused(worker: TrackedWorker, run: TrackedRun, refusal: StartRefusal, now: Long): List<CellEvent> {
-        val ended = end(worker, run, RunEnd.NOT_STARTED)
-        when (refusal) {
-            StartRefusal.FENCED -> return listOf(ended, CellEvent.Fenced)
-            StartRefusal.NO_ROOM, StartRefusal.UNHEALTHY -> worker.health.eject(now, REFUSED_MS)
-            StartRefusal.OTHER_INCARNATION -> worker.hasRunList = false
-            StartRefusal.OUTDATED_RUN, StartRefusal.LATE, StartRefusal.INVALID -> Unit
-        }
-        return listOf(ended)
-    }
-
     /** The next lease call to the worker [id], or null if there is no lease to renew, no end to acknowledge and no run list to read. */
     fun planLease(id: String, now: Long): LeasePlan? = synchronized(lock) { workers[id]?.let { leases.next(it, now) } }
 
@@ -209,7 +205,7 @@
         worker.recordClock(report.clockMs, now)
         worker.isResponsive = true
         worker.acknowledgedEnd = max(worker.acknowledgedEnd, plan.call.seenEnd)
-        report.ended.sortedBy { it.number }.forEach { events += applyEnd(worker, it, now) }
+        report.ended.sortedBy { it.number }.forEach { events += worker.applyEnd(it, now) }
         report.running.forEach { events += applyRunning(worker, it, plan.sentAt, now) }
         events += handleMissingRuns(worker, plan, report, now)
         stops.forgetUnlisted(worker, report, plan.sentAt)
@@ -217,18 +213,6 @@
         events
     }
 
-    private fun applyEnd(worker: TrackedWorker, row: EndedRow, now: Long): List<CellEvent> {
-        if (row.number <= worker.handledEnd) return emptyList()
-        worker.handledEnd = row.number
-        val run = worker.runs[row.run.task]?.takeIf { it.order.run == row.run } ?: return emptyList()
-        when (row.end) {
-            RunEnd.DONE -> worker.health.succeeded(now - run.orderedAt, run.order.estimateMs)
-            RunEnd.FAILED -> worker.health.failed(run.order.task.jobId, now)
-            RunEnd.LOST, RunEnd.NOT_STARTED -> Unit
-        }
-        return listOf(end(worker, run, row.end))
-    }
-
     private fun applyRunning(worker: TrackedWorker, row: RunningRow, listRequestedAt: Long, now: Long): List<CellEvent> {
         val run = worker.runs[row.run.task]?.takeIf { it.order.run == row.run }
             ?: return stops.stopUntracked(worker, row.run, listRequestedAt, now)
@@ -250,7 +234,7 @@
                 stops.stop(worker, run, now)
             } else {
                 worker.health.eject(now, UNREACHABLE_MS)
-                listOf(end(worker, run, RunEnd.LOST))
+                listOf(worker.end(run, RunEnd.LOST))
             }
         }
     }
@@ -282,7 +266,7 @@
         worker.isResponsive = false
         worker.health.eject(now)
         worker.forgetRunList()
-        worker.runs.values.filter { it.orderedAt <= plan.sentAt }.map { end(worker, it, RunEnd.LOST) }
+        worker.runs.values.filter { it.orderedAt <= plan.sentAt }.map { worker.end(it, RunEnd.LOST) }
     }
 
     /** Stops the runs that [matches] selects. */
@@ -300,7 +284,7 @@
         workers.values.forEach { stops.forgetExpired(it, now) }
         val ended = workers.values.filter { it.runs.isNotEmpty() && now > it.leaseEndsAt && !it.isResponsive }.flatMap { worker ->
             worker.health.eject(now)
-            worker.runs.values.toList().map { end(worker, it, RunEnd.LOST) }
+            worker.runs.values.toList().map { worker.end(it, RunEnd.LOST) }
         }
         ended + workers.values.flatMap { stops.repeat(it, now) }
     }
@@ -308,12 +292,7 @@
     /** Ends all runs as lost without calls to the workers, which now belong to another owner. */
     fun abandon(): List<CellEvent> = synchronized(lock) {
         acceptsRuns = false
-        workers.values.flatMap { worker -> worker.runs.values.toList().map { end(worker, it, RunEnd.LOST) } }
-    }
-
-    private fun end(worker: TrackedWorker, run: TrackedRun, runEnd: RunEnd): CellEvent {
-        worker.runs.remove(run.order.task)
-        return CellEvent.Ended(run.order, runEnd, worker.entry.id)
+        workers.values.flatMap { worker -> worker.runs.values.toList().map { worker.end(it, RunEnd.LOST) } }
     }
 
     private companion object {
@@ -321,8 +300,5 @@
 
         /** How long a worker is avoided after it could not be reached, in ms. */
         const val UNREACHABLE_MS = 500L
-
-        /** How long a worker is avoided after it refused a run that should fit, in ms. */
-        const val REFUSED_MS = 300L
     }
 }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
@@ -12,8 +12,8 @@
     /** On a worker of [cell], which this VM owns. */
     data class Local(val cell: String) : RunLocation
 
-    /** On a worker of [cell], which the VM with the incarnation [vm] owns: a remote run. */
-    data class Remote(val vm: String, val cell: String) : RunLocation
+    /** On a worker of a cell of the VM with the incarnation [vm]: a remote run. */
+    data class Remote(val vm: String) : RunLocation
 }
 
 /**
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/FleetRules.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/FleetRules.kt
@@ -16,7 +16,8 @@
  * @property stalledFactor a run is not judged as stalled if its projected run time is less than this many times the expected one, plus
  *     [stalledGraceMs]
  * @property ejectMs how long a worker that fails its runs is avoided at first; doubles up to [ejectMaxMs]
- * @property peerUnresponsiveMs a peer from which no heartbeat was received for this long is lost
+ * @property peerUnresponsiveMs a peer of the same data centre from which no heartbeat was received for this long is lost
+ * @property farPeerUnresponsiveMs the same for a peer of another data centre, which sends heartbeats less often
  * @property stopRetryMs a stop that a worker has not confirmed is sent again after this time
  * @property unconfirmedStopMs a run whose stop stays unconfirmed is kept in its lease for at most this long after the stop was requested
  * @property stopTimeoutMs a worker ends a run at most this long after it has confirmed the stop
@@ -40,6 +41,7 @@
     val ejectMs: Long = 2_000,
     val ejectMaxMs: Long = 10_000,
     val peerUnresponsiveMs: Long = 700,
+    val farPeerUnresponsiveMs: Long = 2_100,
     val stopRetryMs: Long = 100,
     val unconfirmedStopMs: Long = 100,
     val stopTimeoutMs: Long = 50,
--- /dev/null
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/FormerDispatchers.kt
@@ -0,0 +1,46 @@
+/*
+ * Jobs that a former owner of a cell may still have in progress. Invariant: the owner of a cell dispatches no job that a live former owner
+ * of the cell may have in progress. A former owner reports its open jobs, and the workers that it no longer uses, until it has none left.
+ */
+package dandelionpoint.coordination.fleet
+
+import dandelionpoint.protocol.peer.VmIdentity
+
+/** The former owners of this VM's cells that have not finished yet. */
+internal class FormerDispatchers {
+    /** [openJobs] is null until the first report has arrived. */
+    private class Former(val vm: VmIdentity, var openJobs: Set<String>? = null)
+
+    private val lock = Any()
+    private val formers = HashMap<String, Former>()
+
+    /** This VM has taken [cell] over from [former]. */
+    fun gained(cell: String, former: VmIdentity) {
+        synchronized(lock) { formers[cell] = Former(former) }
+    }
+
+    /** Another VM owns [cell] now. */
+    fun lost(cell: String) {
+        synchronized(lock) { formers.remove(cell) }
+    }
+
+    /** [from] has no jobs of [cell] in progress but [openJobs]. A report of a VM that is not the cell's former owner is ignored. */
+    fun onReport(cell: String, from: VmIdentity, openJobs: Set<String>) {
+        synchronized(lock) { formers[cell]?.takeIf { it.vm == from }?.openJobs = openJobs }
+    }
+
+    /** [vm] is lost, and its jobs have ended with it. */
+    fun peerLost(vm: VmIdentity) {
+        synchronized(lock) { formers.values.removeIf { it.vm == vm } }
+    }
+
+    /** True while the former owner of [cell] has not reported which jobs it has. */
+    fun isAwaitingReport(cell: String): Boolean = synchronized(lock) { formers[cell]?.let { it.openJobs == null } ?: false }
+
+    /** The former owner of [cell] that has [jobId] in progress, null if there is none. */
+    fun dispatcherOf(cell: String, jobId: String): VmIdentity? =
+        synchronized(lock) { formers[cell]?.takeIf { it.openJobs?.contains(jobId) == true }?.vm }
+
+    /** Jobs of [cell] that its former owner has in progress, null while they are not known. */
+    fun openJobs(cell: String): Set<String>? = synchronized(lock) { formers[cell].let { if (it == null) emptySet() else it.openJobs } }
+}
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/StoppingRuns.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/StoppingRuns.kt
@@ -29,6 +29,9 @@
         return ofTask.isNotEmpty()
     }
 
+    /** Ids of the jobs whose runs are being stopped. */
+    fun jobIds(): Set<String> = runs.keys.mapTo(HashSet()) { it.jobId }
+
     /** Removes the runs that have ended at [now]. */
     fun prune(now: Long) = runs.keys.toList().forEach { mayRun(it, now) }
 
--- a/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
@@ -1,16 +1,19 @@
 /*
- * Claims cells for this VM in the shared store, renews the claims, and offers cells to other VMs. The rules are in [ClaimRules]; this class
- * makes the calls. When the response to a claim is lost, the VM finds its claim by reading the row, which contains its identity.
+ * Claims cells for this VM in the shared store, renews the claims, and offers cells to other VMs. All claims of a VM are renewed in one
+ * transaction. When the response to a claim is lost, the VM finds its claim by reading the row, which contains its identity.
  */
 package dandelionpoint.fleet
 
 import arrow.core.Either
-import dandelionpoint.coordination.fleet.Candidate
 import dandelionpoint.coordination.fleet.CellClaim
+import dandelionpoint.coordination.fleet.CellOwner
+import dandelionpoint.coordination.fleet.CellPlan
+import dandelionpoint.coordination.fleet.Cells
 import dandelionpoint.coordination.fleet.ClaimRules
 import dandelionpoint.coordination.fleet.FleetRules
-import dandelionpoint.coordination.fleet.LivePeer
 import dandelionpoint.protocol.Clock
+import dandelionpoint.protocol.fleet.RowWrite
+import dandelionpoint.protocol.fleet.RowsRead
 import dandelionpoint.protocol.fleet.SharedRow
 import dandelionpoint.protocol.fleet.SharedRows
 import dandelionpoint.protocol.fleet.WriteResult
@@ -27,13 +30,17 @@
     val self: VmIdentity
     val isStopping: Boolean
 
-    fun livePeers(): List<LivePeer>
+    /** Data centres whose cells this VM may claim: its own, and those that have workers but no live VM. */
+    fun claimableDataCentres(): Set<String>
 
-    /** Data centres that have workers. */
-    fun cells(): Set<String>
+    /** The live peer with [name] that is not stopping, null if there is none. */
+    fun peer(name: String): VmIdentity?
 
-    /** True if a worker of [cell] can be reached from here. */
-    suspend fun canReach(cell: String): Boolean
+    /** The peer that reports to own [cell], null if there is none. */
+    fun peerOwner(cell: String): CellOwner?
+
+    /** True if a worker of [dataCentre] can be reached from here. */
+    suspend fun canReach(dataCentre: String): Boolean
 
     /** This VM owns [cell] now, under the fencing token [token]. Workers that a live [formerOwner] uses are free once it releases them. */
     fun gained(cell: String, token: Long, formerOwner: VmIdentity?)
@@ -49,159 +56,165 @@
 internal class CellClaims(
     private val store: SharedRows,
     private val host: ClaimHost,
+    private val plan: CellPlan,
     private val rules: FleetRules,
     private val clock: Clock = Clock.System,
 ) {
     /** A claim of this VM in row [version]. [storeClockOffsetMs] is the store's clock minus this VM's monotonic clock. */
-    private class OwnClaim(val token: Long, var version: Long, var storeClockOffsetMs: Long, var renewedAt: Long) {
+    private class OwnClaim(val cell: String, val token: Long, var version: Long, var storeClockOffsetMs: Long) {
         var offeredAt: Long? = null
     }
 
     private val claims = ConcurrentHashMap<String, OwnClaim>()
     private val orphanedSince = HashMap<String, Long>()
-    private val localLiveSince = HashMap<String, Long>()
-    private var hasReclaimed = false
     private val handoverRequests = ConcurrentHashMap<String, VmIdentity>()
+    private var hasReclaimed = false
+
+    @Volatile
+    private var renewedAt = NEVER
 
     /** The owner of [cell], [from], asks this VM to take it over. */
     fun handover(cell: String, from: VmIdentity) {
         handoverRequests[cell] = from
     }
 
+    /** A worker has refused a token of this VM: makes the next step renew the claims, which shows whether they are still valid. */
+    fun renewSoon() {
+        renewedAt = NEVER
+    }
+
     /** Renews the claims of this VM, carries out requested handovers, and claims cells that have no owner. */
     suspend fun step() {
         val now = clock.millis()
         if (!hasReclaimed) hasReclaimed = reclaim()
-        handoverRequests.keys.toList().forEach { cell -> handoverRequests.remove(cell)?.let { takeOver(cell, it) } }
-        for (cell in host.cells() + claims.keys) {
-            val own = claims[cell]
-            when {
-                own != null -> maintain(cell, own, now)
-                host.isStopping -> Unit
-                else -> claimIfOrphaned(cell, now)
-            }
+        claims.values.forEach { dropIfOvertaken(it) }
+        claims.values.forEach { offerIfDue(it, now) }
+        if (now - renewedAt >= RENEW_MS) {
+            renewedAt = now
+            claims.values.chunked(SharedRows.MAX_WRITES).forEach { renew(it, now) }
         }
+        claim(requestedHandovers())
+        claim(orphans(now).associateWith { null })
     }
 
     /** Claims the cells that an earlier incarnation of this VM owned. It has ended, so its claims need not become stale first. */
     private suspend fun reclaim(): Boolean {
-        val read = store.read(TABLE)
-        val rows = (read as? Either.Right)?.value?.rows ?: return false
-        rows.filter { row ->
-            decode(row)?.let { it.vm.name == host.self.name && !it.isReleased } == true
-        }.forEach { claim(it.key, from = null) }
+        val rows = readRows(Cells.of(host.self.dataCentre)) ?: return false
+        val own = rows.rows.filter { row -> decode(row)?.let { it.vm.name == host.self.name && !it.isReleased } == true }
+        claim(own.associate { it.key to null })
         return true
     }
 
-    private suspend fun maintain(cell: String, own: OwnClaim, now: Long) {
-        val rival = host.livePeers().firstOrNull { peer -> peer.heartbeat.cells.any { it.cell == cell && it.token > own.token } }
-        if (rival != null) return onClaimLost(cell, rival.vm)
-        offerIfDue(cell, own, now)
-        if (now - own.renewedAt >= RENEW_MS) {
-            own.renewedAt = now
-            renew(cell, own, now)
-        }
+    private fun dropIfOvertaken(own: OwnClaim) {
+        val rival = host.peerOwner(own.cell)
+        if (rival != null && rival.token > own.token) onClaimLost(own, rival.vm)
     }
 
-    /** Offers the cell to another VM if this VM is stopping, or if a VM of the cell's data centre has been live for [LOCAL_STABLE_MS]. */
-    private fun offerIfDue(cell: String, own: OwnClaim, now: Long) {
-        val others = host.livePeers().filter { !it.heartbeat.isStopping }.associateBy { it.vm.name }
-        val isLocalLive = cell != host.self.dataCentre && others.values.any { it.vm.dataCentre == cell }
-        if (!isLocalLive) localLiveSince.remove(cell)
-        val isLocalStable = isLocalLive && now - localLiveSince.getOrPut(cell) { now } >= LOCAL_STABLE_MS
-        if (!host.isStopping && !isLocalStable) return
-        if (now - (own.offeredAt ?: Long.MIN_VALUE / 2) < OFFER_INTERVAL_MS) return
-        val successor = ClaimRules.successor(cell, others.values.map { Candidate(it.vm.name, it.vm.dataCentre) }) ?: return
+    /** Offers the cell to the VM that it is assigned to, at once if this VM is stopping and otherwise once the assignment has settled. */
+    private fun offerIfDue(own: OwnClaim, now: Long) {
+        val assigned = plan.owner(own.cell)?.name ?: return
+        if (assigned == host.self.name || !(host.isStopping || plan.isSettled(own.cell, SETTLED_MS, now))) return
+        if (now - (own.offeredAt ?: NEVER) < OFFER_INTERVAL_MS) return
+        val successor = host.peer(assigned) ?: return
         own.offeredAt = now
-        others[successor.name]?.let { host.offer(cell, it.vm) }
+        host.offer(own.cell, successor)
     }
 
-    private suspend fun renew(cell: String, own: OwnClaim, now: Long) {
-        val claim = CellClaim(host.self, own.token, now + own.storeClockOffsetMs)
-        when (val written = store.write(TABLE, cell, encode(claim), expected = own.version)) {
-            is Either.Left -> reread(cell, own)
-
-            is Either.Right -> when (val result = written.value) {
-                is WriteResult.Written -> {
-                    own.version = result.version
-                    own.storeClockOffsetMs = result.storeMs - clock.millis()
-                }
+    private suspend fun renew(batch: List<OwnClaim>, now: Long) {
+        val writes = batch.map { own ->
+            RowWrite(own.cell, encode(CellClaim(host.self, own.token, now + own.storeClockOffsetMs)), own.version)
+        }
+        val written = (store.writeAll(TABLE, writes) as? Either.Right)?.value as? WriteResult.Written ?: return reread(batch)
+        batch.forEach { own ->
+            own.version = written.version
+            own.storeClockOffsetMs = written.storeMs - clock.millis()
+        }
+    }
 
-                is WriteResult.Conflict -> reread(cell, own)
+    /** Reads whether the rows still contain this VM's claims, after a renewal that failed or had an unknown outcome. */
+    private suspend fun reread(batch: List<OwnClaim>) = batch.groupBy { Cells.dataCentreOf(it.cell) }.values.forEach { claims ->
+        val read = readRows(claims.map { it.cell }) ?: return@forEach
+        val rows = read.rows.associateBy { it.key }
+        claims.forEach { own ->
+            val row = rows[own.cell]
+            val claim = row?.let { decode(it) }
+            if (row != null && claim?.vm == host.self) {
+                own.version = row.version
+                own.storeClockOffsetMs = read.storeMs - clock.millis()
+            } else {
+                onClaimLost(own, claim?.vm)
             }
         }
     }
 
-    /** Reads whether the row still contains this VM's claim, after a renewal that failed or had an unknown outcome. */
-    private suspend fun reread(cell: String, own: OwnClaim) {
-        val read = store.read(TABLE, from = cell, to = cell + "\u0000")
-        val rows = (read as? Either.Right)?.value ?: return
-        val row = rows.rows.firstOrNull() ?: return onClaimLost(cell, null)
-        val claim = decode(row)
-        if (claim?.vm == host.self) {
-            own.version = row.version
-            own.storeClockOffsetMs = rows.storeMs - clock.millis()
-        } else {
-            onClaimLost(cell, claim?.vm)
-        }
+    private fun onClaimLost(own: OwnClaim, successor: VmIdentity?) {
+        if (!claims.remove(own.cell, own)) return
+        val isHandover = clock.millis() - (own.offeredAt ?: NEVER) < HANDOVER_MS
+        log.info { "event=cell_lost cell=${own.cell} token=${own.token} successor=${successor?.name} handover=$isHandover" }
+        host.lost(own.cell, successor, isHandover)
     }
 
-    private fun onClaimLost(cell: String, successor: VmIdentity?) {
-        val own = claims.remove(cell) ?: return
-        val isHandover = own.offeredAt != null
-        log.info { "event=cell_lost cell=$cell token=${own.token} successor=${successor?.name} handover=$isHandover" }
-        host.lost(cell, successor, isHandover)
+    private fun requestedHandovers(): Map<String, VmIdentity?> {
+        val requests = handoverRequests.keys.toList().mapNotNull { cell -> handoverRequests.remove(cell)?.let { cell to it } }
+        return requests.filter { (cell, _) -> !host.isStopping && !claims.containsKey(cell) }.toMap()
     }
 
-    /** A worker has refused this VM's token: makes the next step renew the claim, which shows whether it is still valid. */
-    fun renewSoon(cell: String) {
-        claims[cell]?.renewedAt = Long.MIN_VALUE / 2
+    /** Cells without an owner that this VM should claim now. */
+    private suspend fun orphans(now: Long): List<String> {
+        if (host.isStopping) return emptyList()
+        val dataCentres = host.claimableDataCentres()
+        orphanedSince.keys.removeIf { Cells.dataCentreOf(it) !in dataCentres }
+        return dataCentres.flatMap { dataCentre ->
+            val isOwn = dataCentre == host.self.dataCentre
+            val due = Cells.of(dataCentre).filter { isOrphan(it, now, if (isOwn) ORPHAN_MS else FOREIGN_ORPHAN_MS) }
+            if (due.isEmpty() || isOwn || host.canReach(dataCentre)) due else emptyList()
+        }
     }
 
-    private suspend fun claimIfOrphaned(cell: String, now: Long) {
-        val peers = host.livePeers()
-        if (peers.any { peer -> peer.heartbeat.cells.any { it.cell == cell } }) {
+    private fun isOrphan(cell: String, now: Long, waitMs: Long): Boolean {
+        if (claims.containsKey(cell) || host.peerOwner(cell) != null) {
             orphanedSince.remove(cell)
-            return
+            return false
         }
         val since = orphanedSince.getOrPut(cell) { now }
-        if (now - since < ORPHAN_MS) return
-        val candidates = peers.filter { !it.heartbeat.isStopping }.map { Candidate(it.vm.name, it.vm.dataCentre) } +
-            Candidate(host.self.name, host.self.dataCentre)
-        if (ClaimRules.successor(cell, candidates)?.name != host.self.name) return
-        if (cell != host.self.dataCentre && (now - since < FOREIGN_ORPHAN_MS || !host.canReach(cell))) return
-        claim(cell, from = null)
-    }
-
-    private suspend fun takeOver(cell: String, from: VmIdentity) {
-        if (host.isStopping || claims.containsKey(cell)) return
-        claim(cell, from)
-    }
-
-    private suspend fun claim(cell: String, from: VmIdentity?) {
-        val read = store.read(TABLE, from = cell, to = cell + "\u0000")
-        val rows = (read as? Either.Right)?.value ?: return
-        val row = rows.rows.firstOrNull()
-        val current = row?.let { decode(it) }
-        if (row != null && current?.vm == host.self && current.token == 0L) {
-            return gained(cell, row.version, row.version, rows.storeMs, from)
+        return now - since >= waitMs && plan.owner(cell)?.name == host.self.name
+    }
+
+    /** Claims those of [wanted] that are free, with the VM that each is taken over from, null if it has no live owner. */
+    private suspend fun claim(wanted: Map<String, VmIdentity?>) {
+        wanted.keys.groupBy { Cells.dataCentreOf(it) }.values.flatMap { it.chunked(SharedRows.MAX_WRITES) }.forEach { cells ->
+            claimBatch(cells.associateWith { wanted[it] })
         }
-        val isFree =
-            current == null || current.vm.name == host.self.name || current.vm == from || ClaimRules.isStale(current, rows.storeMs, rules)
-        if (!isFree) return
-        val claim = CellClaim(host.self, token = 0, renewedAtStoreMs = rows.storeMs)
-        val written = store.write(TABLE, cell, encode(claim), expected = row?.version ?: 0L)
-        val result = (written as? Either.Right)?.value as? WriteResult.Written ?: return
-        gained(cell, result.version, result.version, result.storeMs, from)
     }
 
-    private fun gained(cell: String, token: Long, version: Long, storeMs: Long, from: VmIdentity?) {
-        claims[cell] = OwnClaim(token, version, storeMs - clock.millis(), clock.millis())
+    private suspend fun claimBatch(wanted: Map<String, VmIdentity?>) {
+        val read = readRows(wanted.keys) ?: return
+        val rows = read.rows.associateBy { it.key }
+        val current = rows.mapValues { decode(it.value) }
+        val (claimed, others) = wanted.keys.partition { current[it].let { claim -> claim?.vm == host.self && claim.token == 0L } }
+        claimed.forEach { gained(it, rows.getValue(it).version, read.storeMs, wanted[it]) }
+        val free = others.filter { isFree(current[it], wanted[it], read.storeMs) }
+        if (free.isEmpty()) return
+        val claim = encode(CellClaim(host.self, token = 0, renewedAtStoreMs = read.storeMs))
+        val writes = free.map { RowWrite(it, claim, expected = rows[it]?.version ?: 0L) }
+        val written = (store.writeAll(TABLE, writes) as? Either.Right)?.value as? WriteResult.Written ?: return
+        free.forEach { gained(it, written.version, written.storeMs, wanted[it]) }
+    }
+
+    private fun isFree(current: CellClaim?, from: VmIdentity?, storeMs: Long): Boolean =
+        current == null || current.vm.name == host.self.name || current.vm == from || ClaimRules.isStale(current, storeMs, rules)
+
+    private fun gained(cell: String, token: Long, storeMs: Long, from: VmIdentity?) {
+        claims[cell] = OwnClaim(cell, token, token, storeMs - clock.millis())
         orphanedSince.remove(cell)
         log.info { "event=cell_gained cell=$cell token=$token from=${from?.name}" }
         host.gained(cell, token, from)
     }
 
+    /** Reads the rows from the first to the last of [cells] of one data centre, others between them included. */
+    private suspend fun readRows(cells: Collection<String>): RowsRead? =
+        (store.read(TABLE, from = cells.min(), to = cells.max() + "\u0000") as? Either.Right)?.value
+
     private fun encode(claim: CellClaim) = JSON.encodeToString(CellClaim.serializer(), claim).encodeToByteArray()
 
     private fun decode(row: SharedRow): CellClaim? =
@@ -220,11 +233,17 @@
         /** The same for a cell of another data centre, in ms: longer, so that a VM of that data centre claims it first. */
         private const val FOREIGN_ORPHAN_MS = 1_500L
 
-        /** A cell is handed over to a VM of its own data centre once there has been a live one for this long, in ms. */
-        private const val LOCAL_STABLE_MS = 1_500L
+        /** A cell is handed over to another VM once it has been assigned to that one for this long, in ms. */
+        private const val SETTLED_MS = 2_000L
 
         /** Shortest time between two offers of a cell, in ms. */
         private const val OFFER_INTERVAL_MS = 500L
+
+        /** A claim that is lost within this time after the cell was offered was handed over, in ms. */
+        private const val HANDOVER_MS = 3_000L
+
+        /** A time before any other. */
+        private const val NEVER = Long.MIN_VALUE / 2
         private val JSON = Json { ignoreUnknownKeys = true }
     }
 }
--- a/src/main/kotlin/dandelionpoint/fleet/CellController.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellController.kt
@@ -15,7 +15,6 @@
 import dandelionpoint.protocol.fleet.RunEnd
 import dandelionpoint.protocol.fleet.StartOrder
 import dandelionpoint.protocol.fleet.StartOutcome
-import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.protocol.fleet.WorkerPort
@@ -46,8 +45,7 @@
 }
 
 /**
- * Makes the calls for [cell]. [hasTask] is true while a run of a task is in progress in any cell of this VM. Cancelling [vmScope] also ends
- * the controller. All times are in ms.
+ * Makes the calls for [cell]. Cancelling [vmScope] also ends the controller. All times are in ms.
  */
 internal class CellController(
     private val vmScope: CoroutineScope,
@@ -56,7 +54,6 @@
     private val listener: CellListener,
     private val clock: Clock = Clock.System,
     private val rules: FleetRules = FleetRules(),
-    private val hasTask: (TaskRef) -> Boolean = { cell.hasTask(it) },
 ) {
     private val controllerJob = SupervisorJob(vmScope.coroutineContext[Job])
     private val scope = CoroutineScope(vmScope.coroutineContext + controllerJob)
@@ -73,15 +70,17 @@
     /** Wakes the lease loops of all workers, after workers were released. */
     fun wake() = wakeSignals.values.forEach { it.trySend(Unit) }
 
-    /** Starts [order] on a worker. Returns false if none has enough free capacity, or if a run of the task is still in progress. */
-    fun place(order: RunOrder): Boolean {
-        if (hasTask(order.task)) return false
-        val placement = cell.place(order, clock.millis()) ?: return false
-        scope.launch { start(placement) }
+    /**
+     * Starts [order] on a worker other than [excluded]. Returns false if none has enough free capacity, or if a run of the task is still in
+     * progress.
+     */
+    fun place(order: RunOrder, excluded: String? = null): Boolean {
+        val placement = cell.place(order, clock.millis(), excluded) ?: return false
+        scope.launch { sendStart(placement) }
         return true
     }
 
-    private suspend fun start(placement: Placement) {
+    private suspend fun sendStart(placement: Placement) {
         val fresh = if (placement.isClockStale) withFreshLease(placement) else placement
         wakeSignals[placement.worker.id]?.trySend(Unit)
         val outcome = if (fresh == null) StartOutcome.NotSent("the worker's clock could not be read") else answerOf(fresh)
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -4,16 +4,19 @@
  */
 package dandelionpoint.fleet
 
-import dandelionpoint.coordination.fleet.AttemptKey
+import dandelionpoint.coordination.fleet.Candidate
+import dandelionpoint.coordination.fleet.CellOwner
+import dandelionpoint.coordination.fleet.CellPlan
+import dandelionpoint.coordination.fleet.CellView
+import dandelionpoint.coordination.fleet.Cells
 import dandelionpoint.coordination.fleet.Dispatch
+import dandelionpoint.coordination.fleet.DispatchRoute
 import dandelionpoint.coordination.fleet.FleetRules
-import dandelionpoint.coordination.fleet.LivePeer
+import dandelionpoint.coordination.fleet.JobOwnership
 import dandelionpoint.coordination.fleet.PauseDetector
-import dandelionpoint.coordination.fleet.PeerLiveness
 import dandelionpoint.coordination.fleet.ProcessPause
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
-import dandelionpoint.coordination.fleet.Submission
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.FleetJob
 import dandelionpoint.protocol.fleet.JobOutcome
@@ -22,19 +25,11 @@
 import dandelionpoint.protocol.fleet.RunEnd
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.millis
-import dandelionpoint.protocol.peer.CancelAnswer
 import dandelionpoint.protocol.peer.CellHandover
-import dandelionpoint.protocol.peer.CellStatus
 import dandelionpoint.protocol.peer.FleetHeartbeat
-import dandelionpoint.protocol.peer.JobAnswer
-import dandelionpoint.protocol.peer.JobCancel
-import dandelionpoint.protocol.peer.JobOffer
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.PeerReply
-import dandelionpoint.protocol.peer.RemoteRunRequest
-import dandelionpoint.protocol.peer.RunCancel
 import dandelionpoint.protocol.peer.VmIdentity
-import dandelionpoint.protocol.peer.WorkersReleased
 import dandelionpoint.settings.FleetSettings
 import dandelionpoint.transport.peer.PeerAddress
 import dandelionpoint.transport.peer.PeerEvents
@@ -52,6 +47,7 @@
 import kotlinx.coroutines.launch
 import java.util.UUID
 import kotlin.coroutines.CoroutineContext
+import kotlin.random.Random
 
 private val log = KotlinLogging.logger {}
 
@@ -66,23 +62,33 @@
     private val rules: FleetRules = FleetRules(leaseMs = settings.leaseMs.toLong()),
     private val incarnation: String = UUID.randomUUID().toString(),
     context: CoroutineContext = Dispatchers.Default,
+    random: Random = Random.Default,
     transport: PeerTransportFactory = { scope, handler -> PeerNetwork(scope, CLUSTER, handler, NoPeerEvents) },
 ) : FleetJobService {
     /** Scope of all loops of this VM; [close] cancels it. */
     val scope = CoroutineScope(context + SupervisorJob(context[Job]))
-    private val network: PeerTransport = transport(scope) { from, message -> handle(from, message) }
-    private val liveness = PeerLiveness(rules.peerUnresponsiveMs)
+    private val network: PeerTransport = transport(scope) { from, message -> peerRequests.handle(from, message) }
+    private val peers = PeerState(::unresponsiveMs, RemoteCapacity(settings.dataCentre, random))
     private val tables = FleetTables(ports, Tables(), clock, rules)
-    private val cells = OwnedCells(scope, ports.workers, network, Runs(), { tables.workers() }, clock, rules, ::heardAt)
+    private val cells = OwnedCells(scope, ports.workers, Runs(), { tables.workers() }, clock, rules, ::heardAt)
     private val dispatch = Dispatch(incarnation)
-    private val remote = RemoteCapacity()
-    private val runner = JobRunner(scope, dispatch, remote, network, Fleet(), clock)
-    private val remoteRuns = RemoteRunServer({ cells.controller(it) }, { cells.stopRun(it) }, clock)
-    private val claims = CellClaims(ports.store, Claims(), rules, clock)
+    private val handovers =
+        CellHandovers(scope, network, cells, peers.formers, ::openJobs, { peers.liveness.isLive(it) }, clock)
+    private val runner = JobRunner(scope, dispatch, peers.remote, network, Fleet(), clock)
+    private val remoteRuns = RemoteRunServer({ cells.place(it) != null }, { cells.stopRun(it) }, clock)
+    private val plan = CellPlan()
+    private val claims = CellClaims(ports.store, Claims(), plan, rules, clock)
+    private val ownership = JobOwnership(settings.dataCentre, OwnView(), peers.directory, peers.formers)
     private val admission = WorkAdmission(PauseDetector(clock, TICK_MS), Pauses(), clock, rules)
-    private val heartbeats = HeartbeatSender(network, liveness, clock) { heartbeat() }
+    private val heartbeats = HeartbeatSender(network, settings.dataCentre, clock, Heartbeats())
     private lateinit var self: VmIdentity
-    private val forwarder = JobForwarder(scope, { self }, runner, network, { liveness.isLive(it) }, { dispatchingVm() }, clock)
+    private val forwarder = JobForwarder(scope, { self }, runner, network, { peers.liveness.isLive(it) }, ::routeOf, clock)
+    private val peerRequests = PeerRequests(
+        peers,
+        admission,
+        PeerRequestTargets(runner, remoteRuns, claims, cells, ::routeOf, ::onHeartbeat, ::configurationMessage),
+        clock,
+    )
 
     @Volatile
     override var isStopping = false
@@ -97,12 +103,20 @@
     /** Binds the peer port and starts all loops. Throws IOException if the port is in use. */
     suspend fun start() {
         val port = network.bind(settings.peers.host, settings.peers.port)
-        self = VmIdentity(settings.name, incarnation, settings.region, settings.dataCentre, settings.peers.host, port)
+        self = VmIdentity(
+            settings.name,
+            incarnation,
+            settings.region,
+            settings.dataCentre,
+            settings.peers.host,
+            port,
+            settings.cpuMilli,
+        )
         network.start(self)
         settings.seedPeers.forEach { network.connect(PeerAddress(it.host, it.port)) }
         runner.start()
         tables.start(scope, self)
-        scope.launch { every(CLAIM_STEP_MS) { claims.step() } }
+        scope.launch { claimLoop() }
         scope.launch { heartbeats.run() }
         scope.launch { tickLoop() }
         log.info { "event=started vm=${self.name} incarnation=$incarnation" }
@@ -118,17 +132,39 @@
             "peers" to (changed.peers != settings.peers),
             "store" to (changed.store != settings.store),
             "leaseMs" to (changed.leaseMs != settings.leaseMs),
+            "cpuShare" to (changed.cpuShare != settings.cpuShare),
+            "cores" to (changed.cores != settings.cores),
         )
         return differing.filterValues { it }.keys.toList()
     }
 
-    private suspend fun every(ms: Long, step: suspend () -> Unit) {
+    private suspend fun claimLoop() {
         while (scope.isActive) {
-            step()
-            delay(ms)
+            updatePlan()
+            claims.step()
+            delay(CLAIM_STEP_MS)
         }
     }
 
+    private fun updatePlan() {
+        val running = peers.liveness.live().filter { !it.heartbeat.isStopping }.mapTo(HashSet()) { it.vm.asCandidate() }
+        if (!isStopping) running += self.asCandidate()
+        claimableDataCentres().forEach { dataCentre ->
+            val workers = cells.workerCounts.filterKeys { Cells.dataCentreOf(it) == dataCentre }
+            plan.update(dataCentre, running, workers, clock.millis())
+        }
+    }
+
+    private fun VmIdentity.asCandidate() = Candidate(name, dataCentre, cpuMilli)
+
+    /** This VM's data centre, those of its cells, and those that have workers but no live VM. */
+    private fun claimableDataCentres(): Set<String> {
+        val withVm = peers.liveness.live().mapTo(HashSet()) { it.vm.dataCentre }
+        val withWorkers = cells.workerCounts.keys.mapTo(HashSet()) { Cells.dataCentreOf(it) }
+        val owned = cells.owned().mapTo(HashSet()) { Cells.dataCentreOf(it.cell.name) }
+        return (withWorkers - withVm) + owned + settings.dataCentre
+    }
+
     // Client requests
 
     override val isReady: Boolean get() = tables.configuration != null && !isStopping && hasDispatcher()
@@ -136,7 +172,8 @@
     override val hasConfiguration: Boolean get() = tables.configuration != null
 
     /** True if this VM or a live peer owns a cell; otherwise every job would be refused. */
-    private fun hasDispatcher() = cells.owned().isNotEmpty() || liveness.live().any { it.heartbeat.cells.isNotEmpty() }
+    private fun hasDispatcher() =
+        cells.owned().isNotEmpty() || peers.directory.hasOwners() || peers.liveness.live().any { it.vm.dataCentre != settings.dataCentre }
 
     override fun route(host: String, path: String): QueueRoute? = tables.configuration?.route(host, path)
 
@@ -150,41 +187,57 @@
     override fun hasJob(jobId: String): Boolean = forwarder.has(jobId)
 
     override fun waitingJobs(queue: String): Int =
-        (dispatch.waitingJobs()[queue] ?: 0) + liveness.live().sumOf { it.heartbeat.waitingJobs[queue] ?: 0 }
-
-    /** Time of the last sign of life from the VM with [vm] as its incarnation, null if it is lost or unknown. */
-    private fun heardAt(vm: String): Long? = if (vm == incarnation) clock.millis() else liveness.heardAt(vm)
+        (dispatch.waitingJobs()[queue] ?: 0) + peers.liveness.live().sumOf { it.heartbeat.waitingJobs[queue] ?: 0 }
 
     /** Names of the cells that this VM owns. */
     fun ownedCells(): Set<String> = cells.owned().map { it.cell.name }.toSet()
 
-    /** The owner of the cell of this VM's data centre; null if it is this VM or unknown. */
-    private fun dispatchingVm(): VmIdentity? {
-        if (cells.controller(settings.dataCentre) != null && !isStopping) return null
-        return liveness
-            .live()
-            .filter { !it.heartbeat.isStopping }
-            .mapNotNull { peer -> peer.heartbeat.cells.firstOrNull { it.cell == settings.dataCentre }?.let { it.token to peer.vm } }
-            .maxByOrNull { it.first }
-            ?.second
+    private fun routeOf(jobId: String): DispatchRoute = if (dispatch.hasJob(jobId)) DispatchRoute.Here else ownership.route(jobId)
+
+    /** Time of the last sign of life from the VM with [vm] as its incarnation, null if it is lost or unknown. */
+    private fun heardAt(vm: String): Long? = if (vm == incarnation) clock.millis() else peers.liveness.heardAt(vm)
+
+    private fun unresponsiveMs(vm: VmIdentity): Long =
+        if (vm.dataCentre == settings.dataCentre) rules.peerUnresponsiveMs else rules.farPeerUnresponsiveMs
+
+    private fun openJobs(cell: String): Set<String> = if (Cells.dataCentreOf(cell) !=
+        settings.dataCentre
+    ) {
+        emptySet()
+    } else {
+        dispatch.openJobs { Cells.ofJob(settings.dataCentre, it) == cell }
     }
 
     // Callbacks from the components
 
     private inner class Tables : TableEvents {
-        override fun configured() = heartbeats.sendSoon()
+        override fun configured() = heartbeats.announceChange()
 
         override fun workersChanged() = cells.updateWorkers()
 
         override fun vmFound(address: PeerAddress) = network.connect(address)
     }
 
+    private inner class OwnView : CellView {
+        override fun ownToken(cell: String): Long? = cells.token(cell)
+
+        override fun successor(cell: String): VmIdentity? {
+            val name = plan.owner(cell)?.name
+            return if (name == null || name == self.name) null else livePeer(name)
+        }
+    }
+
+    private fun livePeer(name: String): VmIdentity? =
+        peers.liveness.live().firstOrNull { it.vm.name == name && !it.heartbeat.isStopping }?.vm
+
     private inner class Fleet : FleetView {
-        override fun controllers(): Collection<CellController> = cells.owned()
+        override fun place(order: RunOrder, avoidsWorker: Boolean): String? = cells.place(order, avoidsWorker)
+
+        override fun cores(pool: String): Int = cells.cores()[pool] ?: 0
 
-        override fun isLive(vm: VmIdentity): Boolean = liveness.isLive(vm)
+        override fun isLive(vm: VmIdentity): Boolean = peers.liveness.isLive(vm)
 
-        override fun peer(incarnation: String): VmIdentity? = liveness.live().firstOrNull { it.vm.incarnation == incarnation }?.vm
+        override fun heardAt(incarnation: String): Long? = this@FleetVm.heardAt(incarnation)
 
         override fun hasTask(task: TaskRef): Boolean = cells.hasTask(task)
 
@@ -198,12 +251,12 @@
             }
             if (order.origin == incarnation) runner.ended(order.key, end, workerId) else remoteRuns.ended(order.key, end)
             runner.wake()
-            heartbeats.sendSoon()
+            heartbeats.announceCapacity()
         }
 
         override fun fenced(cell: String) {
             log.info { "event=fenced cell=$cell" }
-            claims.renewSoon(cell)
+            claims.renewSoon()
         }
     }
 
@@ -212,98 +265,78 @@
 
         override val isStopping: Boolean get() = this@FleetVm.isStopping
 
-        override fun livePeers(): List<LivePeer> = liveness.live()
+        override fun claimableDataCentres(): Set<String> = this@FleetVm.claimableDataCentres()
 
-        override fun cells(): Set<String> = tables.workers().map { it.dataCentre }.toSet()
+        override fun peer(name: String): VmIdentity? = livePeer(name)
 
-        override suspend fun canReach(cell: String): Boolean =
-            tables.workers().filter { it.dataCentre == cell }.take(REACHABILITY_SAMPLES).any { ports.canConnect(it) }
+        override fun peerOwner(cell: String): CellOwner? = peers.directory.owner(cell)
+
+        override suspend fun canReach(dataCentre: String): Boolean =
+            tables.workers().filter { it.dataCentre == dataCentre }.take(REACHABILITY_SAMPLES).any { ports.canConnect(it) }
 
         override fun gained(cell: String, token: Long, formerOwner: VmIdentity?) {
-            cells.gain(cell, token, formerOwner?.takeIf { liveness.isLive(it) })
-            heartbeats.sendSoon()
+            val former = formerOwner?.takeIf { peers.liveness.isLive(it) }
+            former?.let { peers.formers.gained(cell, it) }
+            cells.gain(cell, token, former)
+            heartbeats.announceChange()
         }
 
         override fun lost(cell: String, successor: VmIdentity?, handover: Boolean) {
-            cells.lose(cell, successor, handover)
-            heartbeats.sendSoon()
+            val controller = cells.lose(cell, handover)
+            if (controller != null && successor != null) handovers.begin(controller, successor)
+            heartbeats.announceChange()
         }
 
         override fun offer(cell: String, successor: VmIdentity) = network.send(successor, CellHandover(cell))
     }
 
-    // Messages from peers
-
-    private suspend fun handle(from: VmIdentity, message: PeerMessage): PeerMessage? {
-        admission.check()
-        return when (message) {
-            is JobOffer -> dispatchFor(from, message)
-
-            is JobCancel -> {
-                runner.cancel(AttemptKey(from.incarnation, message.jobId, message.attempt))
-                CancelAnswer
-            }
-
-            // Without an answer, the sender repeats the request if it still waits. The run may have started before the pause.
-            is RemoteRunRequest -> if (admission.acceptsPeers()) remoteRuns.run(from, message) else null
-
-            is RunCancel -> remoteRuns.cancel(RunKey(from.incarnation, message.dispatch, message.run))
-
-            is PeerMessage.ConfigPull -> tables.configuration?.let { PeerMessage.ConfigChanges(it.version, it.document) }
-
-            else -> {
-                receive(from, message)
-                null
-            }
+    private inner class Heartbeats : HeartbeatSource {
+        /** VMs of other data centres need not know the cells of this one: they claim them only if it has no live VM. */
+        override fun heartbeat(isSameDataCentre: Boolean): FleetHeartbeat {
+            val now = clock.millis()
+            val shown = cells.owned().map { it.cell }.filter { isSameDataCentre || Cells.dataCentreOf(it.name) != settings.dataCentre }
+            return FleetHeartbeat(
+                cells = shown.associate { it.name to it.token },
+                freeCapacity = cells.freeCapacity(),
+                cores = cells.cores(),
+                isStopping = isStopping,
+                configVersion = tables.configurationVersion,
+                waitingJobs = dispatch.waitingJobs(),
+                relayed = if (isSameDataCentre) emptyMap() else relayed(now),
+            )
         }
-    }
 
-    /** Handles a message that has no reply. */
-    private fun receive(from: VmIdentity, message: PeerMessage) = when (message) {
-        is FleetHeartbeat -> onHeartbeat(from, message)
-        is CellHandover -> claims.handover(message.cell, from)
-        is WorkersReleased -> onWorkersReleased(message)
-        else -> log.warn { "event=unexpected_message peer=${from.name} type=${message::class.simpleName}" }
-    }
+        private fun relayed(now: Long): Map<String, Long> = runner
+            .entryVmsOfRemoteRuns()
+            .filter { it != incarnation }
+            .mapNotNull { vm -> heardAt(vm)?.let { vm to now - it } }
+            .toMap()
+
+        override fun partners(): Set<VmIdentity> = runner.partners() + forwarder.dispatchers()
 
-    private suspend fun dispatchFor(from: VmIdentity, offer: JobOffer): JobAnswer {
-        val now = clock.millis()
-        val submission =
-            Submission(offer.job, offer.queue, from.incarnation, now - offer.ageMs, now + offer.remainingMs, offer.attempt)
-        val isAccepting = admission.acceptsOffer(offer.ageMs) && !isStopping
-        if (!isAccepting && !dispatch.has(submission.attempt)) return JobAnswer()
-        return JobAnswer(runner.run(submission))
+        override fun isWaiting(vm: VmIdentity): Boolean = peers.liveness.heartbeat(vm)?.waitingJobs?.isNotEmpty() ?: false
     }
 
     private fun onHeartbeat(from: VmIdentity, heartbeat: FleetHeartbeat) {
-        liveness.onHeartbeat(from, heartbeat, clock.millis())
-        remote.update(from, heartbeat)
+        peers.onHeartbeat(from, heartbeat, clock.millis())
         runner.wake()
         if (heartbeat.configVersion > tables.configurationVersion) scope.launch { pullConfiguration(from) }
     }
 
+    private fun configurationMessage(): PeerMessage? = tables.configuration?.let { PeerMessage.ConfigChanges(it.version, it.document) }
+
     private suspend fun pullConfiguration(from: VmIdentity) {
         val reply = network.call(from, PeerMessage.ConfigPull(tables.configurationVersion), PULL_TIMEOUT_MS)
         val document = ((reply as? PeerReply.Answered)?.message as? PeerMessage.ConfigChanges)?.document ?: return
         tables.applyConfiguration(document.encodeToByteArray(), source = from.name)
     }
 
-    private fun onWorkersReleased(message: WorkersReleased) {
-        cells.released(message.cell, message.workerIds)
-        runner.wake()
-    }
-
-    private fun heartbeat(): FleetHeartbeat {
-        val now = clock.millis()
-        val status = cells.owned().map { CellStatus(it.cell.name, it.cell.token, it.cell.freeCapacity(now), it.cell.cores()) }
-        return FleetHeartbeat(status, isStopping, tables.configurationVersion, dispatch.waitingJobs())
-    }
-
     private suspend fun tickLoop() {
         while (scope.isActive) {
             admission.tick()
-            liveness.removeLost(clock.millis()).forEach { peerLost(it) }
+            peers.liveness.removeLost(clock.millis()).forEach { peerLost(it) }
             cells.tick()
+            handovers.tick()
             runner.tick()
             delay(TICK_MS)
         }
@@ -313,21 +346,20 @@
         /** Peers are not regarded as unresponsive because of the pause. If they may have declared this VM lost, it ends its jobs. */
         override fun paused(pause: ProcessPause, isLost: Boolean) {
             log.warn { "event=stood_still pause_ms=${pause.maxMs}" }
-            liveness.onProcessPause(pause.monotonicMs, clock.millis())
+            peers.liveness.onProcessPause(pause.monotonicMs, clock.millis())
             if (!isLost) return
             runner.onProcessPause(pause.maxMs)
             // A longer pause has outlasted their leases, and after a step of the wall clock, which looks like one, they are still wanted.
-            if (pause.maxMs - TICK_MS <= rules.longestLeaseMs) stopRemoteRuns()
+            if (pause.maxMs - TICK_MS <= rules.longestLeaseMs) cells.stopRunsOfOthers(incarnation)
         }
 
-        private fun stopRemoteRuns() = cells.owned().forEach { cell -> cell.stopRuns { it.origin != incarnation } }
-
         override fun recovered() = network.dropAll()
     }
 
     private fun peerLost(vm: VmIdentity) {
         log.info { "event=peer_lost peer=${vm.name} incarnation=${vm.incarnation}" }
         network.drop(vm)
+        peers.remove(vm)
         runner.peerLost(vm)
         cells.peerLost(vm)
     }
@@ -339,7 +371,7 @@
         isStopping = true
         val begin = clock.millis()
         log.info { "event=stopping open=${openRequests()} jobs=${dispatch.size()}" }
-        heartbeats.sendSoon()
+        heartbeats.announceChange()
         val latest = begin + (settings.graceSeconds * MS_PER_S).toLong() - EXIT_MARGIN_MS
         delay(LOAD_BALANCER_DELAY_MS)
         while (clock.millis() < latest && openRequests() + dispatch.size() + cells.runCount() > 0) delay(TICK_MS)
@@ -357,7 +389,7 @@
         const val TICK_MS = 40L
         const val PULL_TIMEOUT_MS = 1_000L
 
-        /** Number of workers of a cell to which a connection is tried, to find out if the cell can be reached. */
+        /** Number of workers of a data centre to which a connection is tried, to find out if it can be reached. */
         const val REACHABILITY_SAMPLES = 3
 
         /** The load balancer stops sending new connections here within this time after the readiness check fails, in ms. */
--- a/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
@@ -1,11 +1,11 @@
 /*
- * Forwards the jobs of this VM's clients to the owner of the cell of its data centre, which dispatches them. Without a live owner, this VM
- * dispatches them itself, with the free capacity of other cells. Invariant: once a client no longer waits for an attempt, the dispatching
- * VM is told so until it confirms it, and an offer of the attempt that arrives later starts nothing.
+ * Passes the jobs of this VM's clients to the VM that dispatches them. Invariant: once a client no longer waits for an attempt, the
+ * dispatching VM is told so until it confirms it, and an offer of the attempt that arrives later starts nothing.
  */
 package dandelionpoint.fleet
 
 import dandelionpoint.coordination.fleet.AttemptKey
+import dandelionpoint.coordination.fleet.DispatchRoute
 import dandelionpoint.coordination.fleet.Submission
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.FleetJob
@@ -27,14 +27,14 @@
 
 private val log = KotlinLogging.logger {}
 
-/** Jobs of the clients that are connected to this VM, [self]. [ownerVm] returns the VM that dispatches them; null or [self] for this VM. */
+/** Jobs of the clients that are connected to this VM, [self]. [routeOf] returns the VM that dispatches a job, by its id. */
 internal class JobForwarder(
     private val scope: CoroutineScope,
     private val self: () -> VmIdentity,
     private val runner: JobRunner,
     private val link: PeerLink,
     private val isLive: (VmIdentity) -> Boolean,
-    private val ownerVm: () -> VmIdentity?,
+    private val routeOf: (String) -> DispatchRoute,
     private val clock: Clock = Clock.System,
 ) {
     /** A submission in progress. [dispatcher] is the VM that it was offered to, null for this VM. */
@@ -47,6 +47,9 @@
 
     fun has(jobId: String): Boolean = attempts.keys.any { it.jobId == jobId }
 
+    /** Incarnations of the VMs that dispatch jobs of this VM's clients, without this VM. */
+    fun dispatchers(): Set<VmIdentity> = attempts.values.mapNotNullTo(HashSet()) { it.dispatcher }
+
     /** Runs a job whose client waits for [waitMs] ms, until [signal] is cancelled. */
     suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long, signal: CancellationSignal = CancellationSignal()): JobOutcome {
         val arrivedAt = clock.millis()
@@ -65,29 +68,45 @@
         }
     }
 
+    /** Finds the dispatching VM, which may change until a VM has accepted the job, and returns the job's outcome there. */
     private suspend fun dispatch(submission: Submission, attempt: Attempt): JobOutcome {
-        val owner = ownerVm()
-        if (owner == null || owner == self()) return runner.run(submission)
-        attempt.dispatcher = owner
-        return offer(submission, attempt, owner) ?: runner.run(submission)
+        val latest = submission.arrivedAt + ((submission.deadlineAt - submission.arrivedAt) * MAX_ROUTING_SHARE).toLong()
+        var redirect: VmIdentity? = null
+        while (!attempt.isCancelled) {
+            val followed = redirect
+            val route = followed?.let { DispatchRoute.At(it) } ?: routeOf(submission.job.id)
+            val target = (route as? DispatchRoute.At)?.vm?.takeIf { it != self() }
+            if (route == DispatchRoute.Here) return runner.run(submission)
+            when (val result = target?.let { offer(submission, attempt, it) }) {
+                is OfferResult.Ended -> return result.outcome
+                is OfferResult.NotAccepted -> redirect = result.redirect?.takeIf { followed == null }
+                null -> redirect = null
+            }
+            if (clock.millis() >= latest) break
+            if (redirect == null) delay(ROUTE_RETRY_MS)
+        }
+        return JobOutcome.NotRun("no VM that dispatches the job could be reached", RETRY_AFTER_MS)
+    }
+
+    private sealed interface OfferResult {
+        data class Ended(val outcome: JobOutcome) : OfferResult
+
+        /** The job has certainly not been started; it may be offered to [redirect]. */
+        data class NotAccepted(val redirect: VmIdentity?) : OfferResult
     }
 
     /**
-     * Offers the job to [owner] and returns its outcome; null if [owner] certainly did not accept the job. While [owner] is live, an offer
-     * that cannot be sent is repeated: the same job may reach it through another VM, and must not be dispatched by two.
+     * Offers the job to [owner]. While [owner] is live, an offer that cannot be sent is repeated: the same job may reach it through another
+     * VM, and must not be dispatched by two.
      */
-    private suspend fun offer(submission: Submission, attempt: Attempt, owner: VmIdentity): JobOutcome? {
+    private suspend fun offer(submission: Submission, attempt: Attempt, owner: VmIdentity): OfferResult {
+        attempt.dispatcher = owner
         var mayHaveArrived = false
         while (clock.millis() < submission.deadlineAt && !attempt.isCancelled) {
             when (val reply = link.call(owner, offerOf(submission), submission.deadlineAt - clock.millis() + ANSWER_MARGIN_MS)) {
-                is PeerReply.Answered -> {
-                    val outcome = (reply.message as? JobAnswer)?.outcome
-                    val isNotRun = outcome == null || outcome is JobOutcome.NotRun
-                    // An earlier offer may have started the job before this one was refused.
-                    return if (isNotRun && mayHaveArrived) JobOutcome.GivenUp("an offer to the dispatching VM was lost") else outcome
-                }
+                is PeerReply.Answered -> return resultOf(reply.message as? JobAnswer, mayHaveArrived)
 
-                is PeerReply.NotSent -> if (!mayHaveArrived && !isLive(owner)) return null
+                is PeerReply.NotSent -> if (!mayHaveArrived && !isLive(owner)) return OfferResult.NotAccepted(redirect = null)
 
                 is PeerReply.Lost -> {
                     mayHaveArrived = true
@@ -97,12 +116,23 @@
             if (!isLive(owner)) break
             delay(RETRY_MS)
         }
-        if (!mayHaveArrived) return notRun()
+        if (!mayHaveArrived) return OfferResult.Ended(JobOutcome.NotRun("the dispatching VM could not be reached", RETRY_AFTER_MS))
         cancelAt(owner, attempt.key)
-        return JobOutcome.GivenUp("the client or the dispatching VM was lost, or the client's deadline has passed")
+        return OfferResult.Ended(JobOutcome.GivenUp("the client or the dispatching VM was lost, or the client's deadline has passed"))
     }
 
-    private fun notRun() = JobOutcome.NotRun("the dispatching VM could not be reached", RETRY_AFTER_MS)
+    private fun resultOf(answer: JobAnswer?, mayHaveArrived: Boolean): OfferResult {
+        val outcome = answer?.outcome
+        val isNotRun = outcome == null || outcome is JobOutcome.NotRun
+        return when {
+            // An earlier offer may have started the job before this one was refused.
+            isNotRun && mayHaveArrived -> OfferResult.Ended(JobOutcome.GivenUp("an offer to the dispatching VM was lost"))
+
+            outcome == null -> OfferResult.NotAccepted(answer?.redirect)
+
+            else -> OfferResult.Ended(outcome)
+        }
+    }
 
     private fun offerOf(submission: Submission): JobOffer {
         val now = clock.millis()
@@ -141,6 +171,12 @@
         const val ANSWER_MARGIN_MS = 300L
         const val RETRY_MS = 120L
 
+        /** Pause before the dispatching VM is looked up again after a VM has not accepted the job, in ms. */
+        const val ROUTE_RETRY_MS = 30L
+
+        /** A job that no VM has accepted is refused after this share of the time that its client waits. */
+        const val MAX_ROUTING_SHARE = 0.4
+
         /** Time after which a client may submit a job again that could not be offered, in ms. */
         const val RETRY_AFTER_MS = 1_000L
 
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -38,13 +38,16 @@
 
 /** What a [JobRunner] needs from the rest of the VM. */
 internal interface FleetView {
-    /** Controllers of the cells that this VM owns. */
-    fun controllers(): Collection<CellController>
+    /** Starts a run in a cell that this VM owns. Returns the cell, null if the run fits on no worker. See [OwnedCells.place]. */
+    fun place(order: RunOrder, avoidsWorker: Boolean): String?
+
+    /** Cores of a pool's workers in the cells that this VM owns. */
+    fun cores(pool: String): Int
 
     fun isLive(vm: VmIdentity): Boolean
 
-    /** The live peer with [incarnation], or null. */
-    fun peer(incarnation: String): VmIdentity?
+    /** Time of the last heartbeat from the VM with [incarnation], null if it is lost or unknown. */
+    fun heardAt(incarnation: String): Long?
 
     /** True if a run of [task], dispatched by any VM, may be in progress in the cells of this VM. */
     fun hasTask(task: TaskRef): Boolean
@@ -91,22 +94,37 @@
         return own.await()
     }
 
+    /** True if [attempt] was submitted here or cancelled, and has not been forgotten since. */
+    fun has(attempt: AttemptKey): Boolean = dispatch.has(attempt)
+
     private fun poolCores(pool: String): Double {
-        val own = view.controllers().sumOf { it.cell.cores()[pool] ?: 0 }
+        val own = view.cores(pool)
         return own + remote.cores(pool, hasOwnCell = own > 0)
     }
 
     private fun place(order: RunOrder): RunLocation? {
         // A run of the task that another VM dispatched may still be in progress in a cell of this VM.
         if (view.hasTask(order.task)) return null
-        view.controllers().firstOrNull { it.place(order) }?.let { return RunLocation.Local(it.cell.name) }
+        return placeHere(order, avoidsWorker = true) ?: placeRemotely(order) ?: order.avoid?.let { placeHere(order, avoidsWorker = false) }
+    }
+
+    private fun placeHere(order: RunOrder, avoidsWorker: Boolean): RunLocation? =
+        view.place(order, avoidsWorker)?.let { RunLocation.Local(it) }
+
+    private fun placeRemotely(order: RunOrder): RunLocation? {
         val (vm, location) = remote.reserve(order) ?: return null
-        val run = RemoteRun(order, vm, location.cell)
+        val run = RemoteRun(order, vm)
         remoteRuns[order.key] = run
         scope.launch { runRemotely(run) }
         return location
     }
 
+    /** The VMs that have remote runs of this VM in progress. */
+    fun partners(): Set<VmIdentity> = remoteRuns.values.mapTo(HashSet()) { it.vm }
+
+    /** Incarnations of the VMs whose clients wait for the remote runs of this VM. */
+    fun entryVmsOfRemoteRuns(): Set<String> = remoteRuns.values.mapTo(HashSet()) { it.order.entryVm }
+
     private suspend fun runRemotely(run: RemoteRun) {
         var mayHaveArrived = false
         while (!run.isCancelled) {
@@ -129,9 +147,12 @@
     }
 
     private fun request(run: RemoteRun) = with(run.order) {
-        val remainingMs = run.deadlineAt - clock.millis()
+        val now = clock.millis()
         RemoteRunRequest(
-            run.cell, this.run, payload, pool, demand, estimateMs, requiredLabel, rack, maxPerWorker, dispatch, remainingMs, entryVm,
+            this.run, payload, pool, demand, estimateMs, requiredLabel, rack, maxPerWorker, dispatch,
+            remainingMs = run.deadlineAt - now,
+            entryVm = entryVm,
+            entryAgeMs = view.heardAt(entryVm)?.let { now - it },
         )
     }
 
@@ -210,8 +231,8 @@
         }
     }
 
-    /** A run in [cell], which [vm] owns. The client waits for its job until [deadlineAt], in ms on this VM's monotonic clock. */
-    private class RemoteRun(val order: RunOrder, val vm: VmIdentity, val cell: String) {
+    /** A run in a cell of [vm]. The client waits for its job until [deadlineAt], in ms on this VM's monotonic clock. */
+    private class RemoteRun(val order: RunOrder, val vm: VmIdentity) {
         val key: RunKey = order.key
         val deadlineAt: Long = order.deadlineAt
 
--- a/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
@@ -1,19 +1,21 @@
 /*
  * The cells that this VM owns, and those that it has handed over but in which runs that it started are still in progress. [CellClaims]
- * decides on claims and writes them; this class holds the controller of each claimed cell.
+ * decides on claims and writes them; this class holds the controller of each claimed cell and places runs on the workers of all of them.
  */
 package dandelionpoint.fleet
 
 import dandelionpoint.coordination.fleet.Cell
+import dandelionpoint.coordination.fleet.Cells
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.RunKey
+import dandelionpoint.coordination.fleet.RunOrder
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.protocol.fleet.WorkerPort
-import dandelionpoint.protocol.peer.PeerLink
+import dandelionpoint.protocol.millis
+import dandelionpoint.protocol.peer.FreeCapacity
 import dandelionpoint.protocol.peer.VmIdentity
-import dandelionpoint.protocol.peer.WorkersReleased
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import java.util.concurrent.ConcurrentHashMap
@@ -24,25 +26,33 @@
 internal class OwnedCells(
     private val scope: CoroutineScope,
     private val port: WorkerPort,
-    private val link: PeerLink,
     private val listener: CellListener,
     private val workers: () -> List<WorkerEntry>,
     private val clock: Clock,
     private val rules: FleetRules,
     private val heardAt: (String) -> Long?,
 ) {
-    private class HandedOver(val controller: CellController, val successor: VmIdentity?)
-
     private val controllers = ConcurrentHashMap<String, CellController>()
-    private val handedOver = ConcurrentHashMap<String, HandedOver>()
+
+    /** Held while a run is placed, so that a task is not placed in two cells at once. */
+    private val placementLock = Any()
+
+    /** Controllers of cells that were handed over and in which runs are still in progress. A cell may be handed over several times. */
+    private val handedOver = ConcurrentHashMap.newKeySet<CellController>()
     private val formerOwners = ConcurrentHashMap<String, VmIdentity>()
 
+    /** Number of workers of each cell that has any. */
+    @Volatile
+    var workerCounts: Map<String, Int> = emptyMap()
+        private set
+
     /** Controllers of the cells that this VM has claimed. */
     fun owned(): Collection<CellController> = controllers.values
 
-    fun controller(cell: String): CellController? = controllers[cell]
+    /** Fencing token under which this VM owns [cell], null if it does not. */
+    fun token(cell: String): Long? = controllers[cell]?.cell?.token
 
-    private fun all() = controllers.values + handedOver.values.map { it.controller }
+    private fun all() = controllers.values + handedOver
 
     /** True while a run of [task] is, or may be, in progress on a worker of any cell. */
     fun hasTask(task: TaskRef): Boolean = all().any { it.cell.hasTask(task) }
@@ -50,37 +60,69 @@
     /** Number of runs on the workers of all cells, including those that were handed over. */
     fun runCount(): Int = all().sumOf { it.cell.runCount() }
 
+    /**
+     * Starts [order] on the best worker of the owned cells. Returns its cell, null if the run fits on none or if a run of the task is still
+     * in progress. With [avoidsWorker], the worker to avoid is not used at all; otherwise only if no other one can take the run, now or
+     * later, or if the earlier run there has not failed.
+     */
+    fun place(order: RunOrder, avoidsWorker: Boolean = false): String? = synchronized(placementLock) {
+        if (hasTask(order.task)) return null
+        val now = clock.millis()
+        val excluded = order.avoid?.takeIf { avoidsWorker || (order.hasFailed && owned().any { it.cell.couldRunElsewhere(order, now) }) }
+        val costs = owned().mapNotNull { controller -> controller.cell.cost(order, now, excluded)?.let { controller to it } }
+        val chosen = costs.sortedBy { it.second }.map { it.first }.firstOrNull { it.place(order, excluded) }
+        return chosen?.cell?.name
+    }
+
+    /** Free capacity of the workers of all owned cells, by pool. */
+    fun freeCapacity(): Map<String, List<FreeCapacity>> {
+        val now = clock.millis()
+        return owned().flatMap { it.cell.freeCapacity(now).entries }.groupBy({ it.key }) { it.value }.mapValues { it.value.flatten() }
+    }
+
+    /** Cores by pool of the workers of all owned cells. */
+    fun cores(): Map<String, Int> =
+        owned().flatMap { it.cell.cores().entries }.groupBy({ it.key }) { it.value.toLong() }.mapValues { (_, cores) ->
+            cores.sum().coerceAtMost(Int.MAX_VALUE.toLong()).toInt()
+        }
+
     /** Takes ownership of [cell] under [token]. Workers that a [formerOwner] still uses are free once it releases them. */
     fun gain(cell: String, token: Long, formerOwner: VmIdentity?) {
-        val controller = CellController(scope, Cell(cell, token, rules, heardAt), port, listener, clock, rules, ::hasTask)
+        val controller = CellController(scope, Cell(cell, token, rules, heardAt), port, listener, clock, rules)
+        val ownWorkers = workers().filter { Cells.ofWorker(it) == cell }
         if (formerOwner != null) {
             formerOwners[cell] = formerOwner
-            controller.cell.awaitRelease(workersOf(cell).map { it.id }.toSet())
+            controller.cell.awaitRelease(ownWorkers.map { it.id }.toSet())
         }
         controllers.put(cell, controller)?.abandon()
-        controller.updateWorkers(workersOf(cell))
+        controller.updateWorkers(ownWorkers)
     }
 
-    /** [successor] owns [cell] now. After a [handover] the runs there continue to their end under the old token. */
-    fun lose(cell: String, successor: VmIdentity?, handover: Boolean) {
-        val controller = controllers.remove(cell) ?: return
-        if (handover) {
-            controller.cell.close()
-            handedOver[cell] = HandedOver(controller, successor)
-        } else {
+    /** Another VM owns [cell] now. After a [handover] the runs there continue to their end under the old token. */
+    fun lose(cell: String, handover: Boolean): CellController? {
+        val controller = controllers.remove(cell) ?: return null
+        if (!handover) {
             controller.abandon()
+            return null
         }
+        controller.cell.close()
+        handedOver += controller
+        return controller
     }
 
-    private fun workersOf(cell: String) = workers().filter { it.dataCentre == cell }
+    /** The handover of the cell of [controller] is complete. */
+    fun finishHandover(controller: CellController) {
+        if (handedOver.remove(controller)) controller.abandon()
+    }
 
-    fun updateWorkers() = (controllers + handedOver.mapValues { it.value.controller }).forEach { (cell, controller) ->
-        controller.updateWorkers(workersOf(cell))
+    fun updateWorkers() {
+        val byCell = workers().groupBy { Cells.ofWorker(it) }
+        workerCounts = byCell.mapValues { it.value.size }
+        all().forEach { it.updateWorkers(byCell[it.cell.name].orEmpty()) }
     }
 
     /** The former owner of [cell] has no more runs on the workers [ids], or on any worker if null. */
-    fun released(cell: String, ids: Set<String>?) {
-        val controller = controllers[cell] ?: return
+    fun released(cell: String, ids: Set<String>?) = all().filter { it.cell.name == cell }.forEach { controller ->
         controller.cell.release(ids)
         controller.wake()
     }
@@ -91,6 +133,9 @@
         if (stopped == 0) log.info { "event=stop_of_unknown_run ${key.run.logFields()} origin=${key.origin}" }
     }
 
+    /** Stops the runs that other VMs than [self] have dispatched, in the cells that were handed over as well. */
+    fun stopRunsOfOthers(self: String) = all().forEach { cell -> cell.stopRuns { it.origin != self } }
+
     /** [vm] is lost: stops the runs that it dispatched, and frees the workers that it had not released yet. */
     fun peerLost(vm: VmIdentity) {
         all().forEach { controller -> controller.stopRuns { it.origin == vm.incarnation } }
@@ -100,15 +145,6 @@
         }
     }
 
-    /** Ends runs whose lease has expired, and releases idle workers of cells that were handed over. */
-    fun tick() {
-        all().forEach { it.tick() }
-        handedOver.forEach { (cell, entry) ->
-            entry.successor?.let { link.send(it, WorkersReleased(cell, entry.controller.cell.idleWorkerIds())) }
-            if (entry.controller.cell.runCount() == 0) {
-                handedOver.remove(cell)
-                entry.controller.abandon()
-            }
-        }
-    }
+    /** Repeats unconfirmed stops, and ends runs whose lease has expired. */
+    fun tick() = all().forEach { it.tick() }
 }
--- a/src/main/kotlin/dandelionpoint/fleet/RemoteCapacity.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/RemoteCapacity.kt
@@ -5,27 +5,26 @@
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.peer.FleetHeartbeat
 import dandelionpoint.protocol.peer.VmIdentity
+import kotlin.random.Random
 
-/** Free capacity in the cells of other VMs: what their last heartbeats reported, minus what this VM has reserved since. */
-internal class RemoteCapacity {
-    private class RemoteWorker(val vm: VmIdentity, val cell: String, val pool: String, var free: Demand, val speed: Float)
+/**
+ * Free capacity in the cells of other VMs: what their last heartbeats reported, minus what this VM has reserved since. [dataCentre] is that
+ * of this VM: capacity in other data centres is used only if there is none in its own.
+ */
+internal class RemoteCapacity(private val dataCentre: String? = null, private val random: Random = Random.Default) {
+    private class RemoteWorker(val vm: VmIdentity, val pool: String, var free: Demand, val speed: Float)
 
     private val lock = Any()
     private val workers = HashMap<VmIdentity, List<RemoteWorker>>()
-    private val cores = HashMap<VmIdentity, Map<String, Long>>()
+    private val cores = HashMap<VmIdentity, Map<String, Int>>()
 
     /** Replaces what is known of [vm] by its heartbeat. */
     fun update(vm: VmIdentity, heartbeat: FleetHeartbeat) = synchronized(lock) {
-        cores[vm] =
-            heartbeat.cells.flatMap {
-                it.cores.entries
-            }.groupBy({ it.key }) { it.value }.mapValues { it.value.sumOf { cores -> cores.toLong() } }
+        cores[vm] = heartbeat.cores
         workers[vm] = if (heartbeat.isStopping) {
             emptyList()
         } else {
-            heartbeat.cells.flatMap { cell ->
-                cell.freeCapacity.flatMap { (pool, free) -> free.map { RemoteWorker(vm, cell.cell, pool, it.free, it.speed) } }
-            }
+            heartbeat.freeCapacity.flatMap { (pool, free) -> free.map { RemoteWorker(vm, pool, it.free, it.speed) } }
         }
     }
 
@@ -42,12 +41,17 @@
         }
     }
 
-    /** Reserves capacity for [order] on the fastest worker that has enough; null if there is none. */
+    /**
+     * Reserves capacity for [order] and returns the VM that has it; null if there is none. Of two workers that are chosen at random the
+     * faster one is taken, so that the VMs, which all know the same free capacity, do not all choose the same worker.
+     */
     fun reserve(order: RunOrder): Pair<VmIdentity, RunLocation.Remote>? = synchronized(lock) {
         val fitting = workers.values.flatten().filter { it.pool == order.pool && it.free.covers(order.demand) }
-        val worker = fitting.maxByOrNull { it.speed } ?: return@synchronized null
+        if (fitting.isEmpty()) return@synchronized null
+        val near = fitting.filter { it.vm.dataCentre == dataCentre }.ifEmpty { fitting }
+        val worker = List(CHOICES) { near.random(random) }.maxBy { it.speed }
         worker.free -= order.demand
-        worker.vm to RunLocation.Remote(worker.vm.incarnation, worker.cell)
+        worker.vm to RunLocation.Remote(worker.vm.incarnation)
     }
 
     /**
@@ -56,11 +60,14 @@
      */
     fun cores(pool: String, hasOwnCell: Boolean): Double = synchronized(lock) {
         val free = workers.values.flatten().filter { it.pool == pool }.sumOf { it.free.cpuMilli.toLong() } / MILLI
-        val share = if (hasOwnCell) 0.0 else cores.values.sumOf { it[pool] ?: 0L }.toDouble() / (cores.size + 1)
+        val share = if (hasOwnCell) 0.0 else cores.values.sumOf { (it[pool] ?: 0).toLong() }.toDouble() / (cores.size + 1)
         maxOf(free, share)
     }
 
     private companion object {
+        /** Number of workers of which the fastest one is taken. */
+        const val CHOICES = 2
+
         /** Thousandths of a core in a core. */
         const val MILLI = 1_000.0
     }
--- a/src/main/kotlin/dandelionpoint/fleet/RemoteRunServer.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/RemoteRunServer.kt
@@ -17,9 +17,9 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** Serves remote runs. [controllerOf] returns the controller of a cell that this VM owns, otherwise null; [stopRun] stops a run. */
+/** Serves remote runs. [place] starts a run in a cell of this VM and returns false if it fits nowhere; [stopRun] stops a run. */
 internal class RemoteRunServer(
-    private val controllerOf: (String) -> CellController?,
+    private val place: (RunOrder) -> Boolean,
     private val stopRun: (RunKey) -> Unit,
     private val clock: Clock = Clock.System,
 ) {
@@ -40,8 +40,7 @@
             open.putIfAbsent(order.key, own)
         }
         if (earlier != null) return RunAnswer(earlier.end.await())
-        val isPlaced = controllerOf(request.cell)?.place(order) ?: false
-        if (!isPlaced) ended(order.key, RunEnd.NOT_STARTED)
+        if (!place(order)) ended(order.key, RunEnd.NOT_STARTED)
         if (synchronized(lock) { own.isCancelled }) stopRun(order.key)
         return RunAnswer(endWithin(request.remainingMs, own) ?: endAfterStop(order.key, own))
     }
--- a/src/main/kotlin/dandelionpoint/platform/PlatformRows.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformRows.kt
@@ -8,6 +8,7 @@
 import arrow.core.left
 import arrow.core.right
 import dandelionpoint.protocol.fleet.RowChanges
+import dandelionpoint.protocol.fleet.RowWrite
 import dandelionpoint.protocol.fleet.RowsRead
 import dandelionpoint.protocol.fleet.SharedRow
 import dandelionpoint.protocol.fleet.SharedRows
@@ -18,9 +19,9 @@
 import dandelionpoint.transport.http.HttpChannelSettings
 import dandelionpoint.transport.http.HttpOutcome
 import dandelionpoint.transport.http.OneShotBody
+import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.add
-import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import okhttp3.HttpUrl
@@ -69,11 +70,32 @@
         }
     }
 
-    override suspend fun write(table: String, key: String, value: ByteArray?, expected: Long?): Either<StoreError, WriteResult> {
-        val body = transaction(table, key, value, expected).toString().encodeToByteArray()
+    override suspend fun write(table: String, key: String, value: ByteArray?, expected: Long?): Either<StoreError, WriteResult> = send(
+        preconditions = listOfNotNull(expected?.let { condition(table, key, it) }),
+        puts = listOfNotNull(value?.let { put(table, key, it) }),
+        removals = if (value == null) listOf(row(table, key)) else emptyList(),
+    )
+
+    override suspend fun writeAll(table: String, writes: List<RowWrite>): Either<StoreError, WriteResult> = send(
+        preconditions = writes.map { condition(table, it.key, it.expected) },
+        puts = writes.map { put(table, it.key, it.value) },
+        removals = emptyList(),
+    )
+
+    /** Sends one transaction, in which all rows have the empty part. */
+    private suspend fun send(
+        preconditions: List<JsonObject>,
+        puts: List<JsonObject>,
+        removals: List<JsonObject>,
+    ): Either<StoreError, WriteResult> {
+        val body = buildJsonObject {
+            put("precondition", JsonArray(preconditions))
+            put("puts", JsonArray(puts))
+            put("remove", JsonArray(removals))
+        }
         val request = Request.Builder().url(
             base.newBuilder().addPathSegments("v1/rows-tx").build(),
-        ).post(OneShotBody(body, JSON_TYPE)).build()
+        ).post(OneShotBody(body.toString().encodeToByteArray(), JSON_TYPE)).build()
         return when (val outcome = channel.send(request, timeoutMs)) {
             is HttpOutcome.NotWritten -> StoreError.NotApplied(outcome.reason).left()
 
@@ -90,31 +112,18 @@
         }
     }
 
-    private fun transaction(table: String, key: String, value: ByteArray?, expected: Long?): JsonObject {
-        val row = buildJsonObject {
-            put("table", table)
-            put("part", "")
-            put("key", key)
-        }
-        val put = value?.let {
-            buildJsonObject {
-                row.forEach { (name, element) -> put(name, element) }
-                put("value", Base64.getEncoder().encodeToString(it))
-            }
-        }
-        val condition = expected?.let {
-            buildJsonObject {
-                row.forEach { (name, element) -> put(name, element) }
-                put("ver", it)
-            }
-        }
-        return buildJsonObject {
-            put("precondition", buildJsonArray { condition?.let { add(it) } })
-            put("puts", buildJsonArray { put?.let { add(it) } })
-            put("remove", buildJsonArray { if (value == null) add(row) })
-        }
+    private fun row(table: String, key: String, member: JsonObjectBuilder.() -> Unit = {}): JsonObject = buildJsonObject {
+        put("table", table)
+        put("part", "")
+        put("key", key)
+        member()
     }
 
+    private fun condition(table: String, key: String, version: Long) = row(table, key) { put("ver", version) }
+
+    private fun put(table: String, key: String, value: ByteArray) =
+        row(table, key) { put("value", Base64.getEncoder().encodeToString(value)) }
+
     /** A read that failed; [status] is the HTTP status of the answer, null if there was none. */
     private class ReadFailure(val error: StoreError, val status: Int? = null)
 
--- a/src/main/kotlin/dandelionpoint/protocol/fleet/SharedRows.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/fleet/SharedRows.kt
@@ -26,6 +26,9 @@
     data object Conflict : WriteResult
 }
 
+/** A write of [value] to the row [key] of a table if its version is [expected] (0: it does not exist). */
+class RowWrite(val key: String, val value: ByteArray, val expected: Long)
+
 /** The shared store. Each call is sent once, without retries. */
 interface SharedRows {
     /** Reads all rows of [table], or those with keys in [from, to). */
@@ -36,4 +39,12 @@
 
     /** Writes a row if its version is [expected] (0: it does not exist, null: no condition). A null [value] deletes it. */
     suspend fun write(table: String, key: String, value: ByteArray?, expected: Long?): Either<StoreError, WriteResult>
+
+    /** Makes all [writes] to [table] in one transaction, or none of them if a row has another version. At most [MAX_WRITES] at a time. */
+    suspend fun writeAll(table: String, writes: List<RowWrite>): Either<StoreError, WriteResult>
+
+    companion object {
+        /** The most rows that one transaction writes. */
+        const val MAX_WRITES = 40
+    }
 }
--- a/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
@@ -18,26 +18,22 @@
 @Serializable
 sealed interface FleetMessage : PeerMessage
 
-/** A cell that the sender owns under [token], with the free capacity of its workers and the cores of all usable ones, both by pool. */
-@Serializable
-data class CellStatus(
-    @SerialName("c") val cell: String,
-    @SerialName("t") val token: Long,
-    @SerialName("r") val freeCapacity: Map<String, List<FreeCapacity>> = emptyMap(),
-    @SerialName("p") val cores: Map<String, Int> = emptyMap(),
-)
-
 /**
- * Heartbeat: sent to all peers at a fixed interval, and to the owners of cells also after a change of the free capacity. [waitingJobs] is
- * the number of jobs without a started task, by queue.
+ * Heartbeat, sent at fixed intervals. [cells] has the fencing tokens of the sender's cells by their names; VMs of other data centres get
+ * only those outside the sender's data centre. [freeCapacity] lists the sender's workers with free capacity and [cores] counts the cores
+ * of all usable ones, both by pool. [waitingJobs] is the number of jobs without a started task, by queue. [relayed] has the age in ms of
+ * the last heartbeat from each VM whose clients wait for remote runs of the sender, by the incarnation.
  */
 @Serializable
 @SerialName("beat")
 data class FleetHeartbeat(
-    @SerialName("c") val cells: List<CellStatus> = emptyList(),
+    @SerialName("o") val cells: Map<String, Long> = emptyMap(),
+    @SerialName("r") val freeCapacity: Map<String, List<FreeCapacity>> = emptyMap(),
+    @SerialName("p") val cores: Map<String, Int> = emptyMap(),
     @SerialName("s") val isStopping: Boolean = false,
     @SerialName("v") val configVersion: Long = 0,
     @SerialName("w") val waitingJobs: Map<String, Int> = emptyMap(),
+    @SerialName("l") val relayed: Map<String, Long> = emptyMap(),
 ) : FleetMessage
 
 /**
@@ -48,10 +44,13 @@
 @SerialName("JobOffer")
 data class JobOffer(val job: FleetJob, val queue: JobQueue, val ageMs: Long, val remainingMs: Long, val attempt: Long = 0) : FleetMessage
 
-/** Reply to [JobOffer]. Without an [outcome], its sender is stopping or was paused, and has not accepted the job. */
+/**
+ * Reply to [JobOffer]. Without an [outcome], its sender has not accepted the job, because it was paused or does not dispatch it; [redirect]
+ * is then the VM that has the job in progress, if the sender knows one.
+ */
 @Serializable
 @SerialName("JobAnswer")
-data class JobAnswer(val outcome: JobOutcome? = null) : FleetMessage
+data class JobAnswer(val outcome: JobOutcome? = null, val redirect: VmIdentity? = null) : FleetMessage
 
 /**
  * The client of an offered job has disconnected or cancelled it, or its deadline has passed. The sender repeats it until it gets a
@@ -67,15 +66,14 @@
 data object CancelAnswer : FleetMessage
 
 /**
- * Asks another VM to start a run at once in its [cell], for a job that the sender dispatches. The reply, [RunAnswer], is sent when the run
- * has ended. [dispatch] is the sender's number of the submission: with it, a repeated request is recognised. The run is stopped if it has
- * not ended after [remainingMs] ms, when the client no longer waits. [entryVm] is the incarnation of the VM that the client is connected
- * to, null for the sender; the run is stopped if that VM is lost.
+ * Asks another VM to start a run at once in one of its cells, for a job that the sender dispatches. The reply, [RunAnswer], is sent when
+ * the run has ended. [dispatch] is the sender's number of the submission: with it, a repeated request is recognised. The run is stopped if
+ * it has not ended after [remainingMs] ms, when the client no longer waits. [entryVm] is the incarnation of the VM that the client is
+ * connected to, null for the sender; the run is stopped if that VM is lost. Its last heartbeat reached the sender [entryAgeMs] ms ago.
  */
 @Serializable
 @SerialName("RunLoan")
 data class RemoteRunRequest(
-    val cell: String,
     val run: TaskRun,
     val payload: String,
     val pool: String,
@@ -87,6 +85,7 @@
     val dispatch: Long = 0,
     val remainingMs: Long? = null,
     val entryVm: String? = null,
+    val entryAgeMs: Long? = null,
 ) : FleetMessage
 
 /** Reply to [RemoteRunRequest]. */
@@ -102,12 +101,15 @@
 @SerialName("RunCancel")
 data class RunCancel(val run: TaskRun, val dispatch: Long = 0) : FleetMessage
 
-/** Asks the receiver to take over [cell], because the sender stops or the receiver is in the cell's data centre and the sender is not. */
+/** Asks the receiver to take over [cell], because the sender stops or the receiver is to own the cell. */
 @Serializable
 @SerialName("CellHandover")
 data class CellHandover(val cell: String) : FleetMessage
 
-/** The sender has no more runs on these workers of [cell], which the receiver owns now and may use from here on. */
+/**
+ * The sender has no more runs on these workers of [cell], which the receiver owns now and may use from here on. Of the jobs of the cell it
+ * still has [openJobs] in progress.
+ */
 @Serializable
 @SerialName("WorkersReleased")
-data class WorkersReleased(val cell: String, val workerIds: Set<String>) : FleetMessage
+data class WorkersReleased(val cell: String, val workerIds: Set<String>, val openJobs: Set<String> = emptySet()) : FleetMessage
--- a/src/main/kotlin/dandelionpoint/protocol/peer/PeerMessage.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/peer/PeerMessage.kt
@@ -7,7 +7,10 @@
 import dandelionpoint.protocol.SubmissionId
 import kotlinx.serialization.Serializable
 
-/** Identity of one process of an entry VM: [name] is from the settings, [incarnation] is generated at each start. */
+/**
+ * Identity of one process of an entry VM: [name] is from the settings, [incarnation] is generated at each start. [cpuMilli] is its share of
+ * the processor in thousandths of a core.
+ */
 @Serializable
 data class VmIdentity(
     val name: String,
@@ -16,6 +19,7 @@
     val dataCentre: String,
     val host: String,
     val port: Int,
+    val cpuMilli: Int = 1_000,
 )
 
 /**
--- a/src/main/kotlin/dandelionpoint/settings/FleetSettings.kt
+++ b/src/main/kotlin/dandelionpoint/settings/FleetSettings.kt
@@ -15,6 +15,8 @@
  * @property seedPeers peers to connect to at the start; some of them may no longer exist
  * @property store address of the shared store
  * @property leaseMs longest lease that workers grant, in ms
+ * @property cpuShare share of each processor core that this VM has, above 0 and at most 1
+ * @property cores number of processor cores of this VM
  * @property graceSeconds time from the signal to stop until the process is killed from outside, in seconds
  */
 internal data class FleetSettings(
@@ -28,8 +30,16 @@
     val store: HostAndPort,
     val leaseMs: Int = DEFAULT_LEASE_MS,
     val graceSeconds: Double = DEFAULT_GRACE_SECONDS,
+    val cpuShare: Double = DEFAULT_CPU_SHARE,
+    val cores: Int = DEFAULT_CORES,
 ) {
+    /** Processor share of this VM in thousandths of a core: work is spread over the VMs in proportion to it. */
+    val cpuMilli: Int get() = (cpuShare * cores * MILLI).toInt().coerceAtLeast(1)
+
     companion object {
+        const val DEFAULT_CPU_SHARE = 1.0
+        const val DEFAULT_CORES = 1
+        private const val MILLI = 1_000
         const val DEFAULT_LEASE_MS = 1_000
         const val DEFAULT_GRACE_SECONDS = 6.0
     }
@@ -38,6 +48,8 @@
 private const val ADDRESS = "an address such as 127.0.0.1:8080"
 private const val MAX_LEASE_MS = 60_000
 private const val MAX_GRACE_SECONDS = 600.0
+private const val MIN_CPU_SHARE = 0.001
+private const val MAX_CORES = 1_024
 private const val NAME_RULE = "1 to 64 letters, digits, dots, hyphens or underscores"
 private val NAME_PATTERN = Regex("[A-Za-z0-9._-]{1,64}")
 
@@ -53,6 +65,8 @@
     store = hostAndPort("store"),
     leaseMs = integer("leaseMs", 100..MAX_LEASE_MS, "milliseconds", FleetSettings.DEFAULT_LEASE_MS),
     graceSeconds = decimal("graceSeconds", 1.0..MAX_GRACE_SECONDS, "number of seconds", FleetSettings.DEFAULT_GRACE_SECONDS),
+    cpuShare = decimal("cpuShare", MIN_CPU_SHARE..1.0, "share of a core, above 0 and at most 1", FleetSettings.DEFAULT_CPU_SHARE),
+    cores = integer("cores", 1..MAX_CORES, "number of cores", FleetSettings.DEFAULT_CORES),
 )
 
 private fun Fields.hostAndPort(key: String): HostAndPort =
--- /dev/null
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/JobOwnershipTest.kt
@@ -0,0 +1,73 @@
+package dandelionpoint.coordination.fleet
+
+import dandelionpoint.protocol.peer.VmIdentity
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.shouldBe
+
+private const val DATA_CENTRE = "akl-a"
+private const val JOB_ID = "0000000000000001"
+private val CELL = Cells.ofJob(DATA_CENTRE, JOB_ID)
+private val OWNER = VmIdentity("owner", "incarnation-owner", "north", DATA_CENTRE, "127.0.0.1", 1)
+private val RIVAL = VmIdentity("rival", "incarnation-rival", "north", DATA_CENTRE, "127.0.0.1", 2)
+
+private class VmUnderTest(var token: Long? = null, var successor: VmIdentity? = null) : CellView {
+    val directory = CellDirectory()
+    val formers = FormerDispatchers()
+    private val ownership = JobOwnership(DATA_CENTRE, this, directory, formers)
+
+    override fun ownToken(cell: String): Long? = token.takeIf { cell == CELL }
+
+    override fun successor(cell: String): VmIdentity? = successor
+
+    fun route() = ownership.route(JOB_ID)
+}
+
+/** Guards against a job that two VMs dispatch at the same time, each of which runs all of its tasks. */
+internal class JobOwnershipTest :
+    DescribeSpec({
+        describe("a job") {
+            it("is dispatched by the owner of its cell, under the highest token if several VMs claim it") {
+                val vm = VmUnderTest(token = 5)
+                vm.route() shouldBe DispatchRoute.Here
+                vm.directory.update(OWNER, mapOf(CELL to 4L))
+                vm.route() shouldBe DispatchRoute.Here
+                vm.directory.update(RIVAL, mapOf(CELL to 6L))
+                vm.route() shouldBe DispatchRoute.At(RIVAL)
+                vm.directory.remove(RIVAL)
+                vm.route() shouldBe DispatchRoute.Here
+            }
+
+            it("is dispatched by one VM alone while its cell has no owner: the one that is to take it over") {
+                VmUnderTest(successor = OWNER).route() shouldBe DispatchRoute.At(OWNER)
+                VmUnderTest().route() shouldBe DispatchRoute.Here
+            }
+        }
+
+        describe("after a handover") {
+            it("the new owner dispatches nothing before the former one has told which jobs it has in progress") {
+                val vm = VmUnderTest(token = 5)
+                vm.formers.gained(CELL, OWNER)
+                vm.route() shouldBe DispatchRoute.Undecided
+                vm.formers.onReport(CELL, OWNER, setOf(JOB_ID))
+                vm.route() shouldBe DispatchRoute.At(OWNER)
+                vm.formers.onReport(CELL, OWNER, emptySet())
+                vm.route() shouldBe DispatchRoute.Here
+            }
+
+            it("a report of another VM than the former owner counts for nothing") {
+                val vm = VmUnderTest(token = 5)
+                vm.formers.gained(CELL, OWNER)
+                vm.formers.onReport(CELL, RIVAL, emptySet())
+                vm.route() shouldBe DispatchRoute.Undecided
+                vm.formers.openJobs(CELL).shouldBeNull()
+            }
+
+            it("the loss of the former owner ends the wait, since its jobs have ended with it") {
+                val vm = VmUnderTest(token = 5)
+                vm.formers.gained(CELL, OWNER)
+                vm.formers.peerLost(OWNER)
+                vm.route() shouldBe DispatchRoute.Here
+            }
+        }
+    })
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedCalls.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedCalls.kt
@@ -9,6 +9,7 @@
 import dandelionpoint.protocol.fleet.LeaseCall
 import dandelionpoint.protocol.fleet.LeaseOutcome
 import dandelionpoint.protocol.fleet.RowChanges
+import dandelionpoint.protocol.fleet.RowWrite
 import dandelionpoint.protocol.fleet.RowsRead
 import dandelionpoint.protocol.fleet.SharedRows
 import dandelionpoint.protocol.fleet.StartOrder
@@ -105,6 +106,9 @@
     override suspend fun write(table: String, key: String, value: ByteArray?, expected: Long?): Either<StoreError, WriteResult> =
         world.exchange(TIMEOUT_MS, null) { rows.write(table, key, value, expected) } ?: LOST.left()
 
+    override suspend fun writeAll(table: String, writes: List<RowWrite>): Either<StoreError, WriteResult> =
+        world.exchange(TIMEOUT_MS, null) { rows.writeAll(table, writes) } ?: LOST.left()
+
     private companion object {
         const val TIMEOUT_MS = 500L
         val LOST = StoreError.OutcomeUnknown("no answer")
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
@@ -42,6 +42,7 @@
     private class Incarnation(val vm: FleetVm, val dispatcher: PausableDispatcher, val transport: SimulatedTransport)
 
     val name: String get() = settings.name
+    val dataCentre: String get() = settings.dataCentre
     private var incarnations = 0
     private var current: Incarnation? = null
     private val clients = LinkedHashSet<ClientConnection>()
@@ -60,6 +61,7 @@
             clock = world.clock,
             incarnation = "$name-$incarnations",
             context = dispatcher + world.errorHandler,
+            random = world.random,
             transport = { scope, handler -> SimulatedTransport(network, name, scope, handler).also { transport = it } },
         )
         current = Incarnation(vm, dispatcher, transport)
