Read less at the start of a VM and from the workers' table

Thread samples of a played VM show the first frames of 92 connections, each with up to 46 identities, and the decoding of every worker's heartbeat among what is left of its processor time. The first frame names 8 peers now, from which all others are found, and a row that differs from the known one only in the heartbeat's counter is not decoded.

New tests: HeartbeatSenderTest, RemoteCapacityTest (own data centre first), OddDocumentsTest (which rows count as heartbeats), FleetTablesTest (a row written anew with the same content).

--- a/src/main/kotlin/dandelionpoint/fleet/FleetPorts.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetPorts.kt
@@ -10,6 +10,9 @@
 internal interface DocumentReader {
     fun worker(id: String, bytes: ByteArray): WorkerEntry?
 
+    /** True if two documents of one worker are alike but for a counter of its heartbeats. */
+    fun isSameWorker(earlier: ByteArray, later: ByteArray): Boolean = earlier.contentEquals(later)
+
     fun configuration(bytes: ByteArray): FleetConfiguration?
 }
 
--- a/src/main/kotlin/dandelionpoint/fleet/FleetTables.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetTables.kt
@@ -85,22 +85,34 @@
         /** Ids of the rows that name no worker to use, so that each is logged once. */
         private val ignored = mutableSetOf<String>()
 
+        /** Documents of the workers in use, by the rows' keys. Most changes of a row are heartbeats, which need not be decoded. */
+        private val documents = HashMap<String, ByteArray>()
+
         override fun onStoreAnswer() {
             workerList.onStoreAnswer(clock.millis())
             events.workersChanged()
         }
 
-        override fun replaced(rows: List<SharedRow>) = workerList.replaceAll(rows.mapNotNull { read(it) }, clock.millis())
+        override fun replaced(rows: List<SharedRow>) {
+            documents.clear()
+            workerList.replaceAll(rows.mapNotNull { read(it) }, clock.millis())
+        }
 
-        override fun changed(rows: List<SharedRow>) = rows.forEach { row ->
+        override fun changed(rows: List<SharedRow>) = rows.filterNot { isHeartbeat(it) }.forEach { row ->
             val entry = read(row)
             if (entry != null) workerList.put(entry) else workerList.onRemoved(row.key, clock.millis())
         }
 
+        private fun isHeartbeat(row: SharedRow): Boolean {
+            val known = documents[row.key] ?: return false
+            return row.value?.let { ports.documents.isSameWorker(known, it) } ?: false
+        }
+
         /** The worker in [row]; null if the row was deleted or names no worker to use. */
         private fun read(row: SharedRow): WorkerEntry? {
             val decoded = runCatching { row.value?.let { ports.documents.worker(row.key, it) } }
             val entry = decoded.getOrNull()
+            if (entry != null && row.value != null) documents[row.key] = row.value else documents -= row.key
             if (entry != null || row.value == null) ignored -= row.key else logIgnored(row, decoded.exceptionOrNull())
             return entry
         }
--- a/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
@@ -25,6 +25,7 @@
 import kotlinx.serialization.json.intOrNull
 import kotlinx.serialization.json.put
 import okhttp3.HttpUrl.Companion.toHttpUrlOrNull
+import java.util.Arrays
 
 private const val READY = "ready"
 private const val DRAINING = "draining"
@@ -82,6 +83,42 @@
     )
 }
 
+/** The member of a worker's entry that changes with each heartbeat, up to its number. */
+private val COUNTER_MEMBER = "\"seq\":".encodeToByteArray()
+
+/**
+ * True if two registrations are the same bytes but for the whole number of the heartbeat's counter. Only the compact form of the platform's
+ * own writers is recognised; other documents count as different.
+ */
+internal fun areEqualButForCounter(earlier: ByteArray, later: ByteArray): Boolean {
+    val counterAt = endOfCounterName(earlier) ?: return false
+    if (endOfCounterName(later) != counterAt) return false
+    val restOfEarlier = endOfDigits(earlier, counterAt)
+    val restOfLater = endOfDigits(later, counterAt)
+    return restOfEarlier > counterAt && restOfLater > counterAt &&
+        Arrays.equals(earlier, 0, counterAt, later, 0, counterAt) &&
+        Arrays.equals(earlier, restOfEarlier, earlier.size, later, restOfLater, later.size)
+}
+
+/** Index behind the counter's name and colon, null if the name does not occur exactly once. */
+private fun endOfCounterName(bytes: ByteArray): Int? {
+    val at = indexOfCounterName(bytes, 0)
+    return if (at < 0 || indexOfCounterName(bytes, at + 1) >= 0) null else at + COUNTER_MEMBER.size
+}
+
+private fun indexOfCounterName(bytes: ByteArray, from: Int): Int = (from..bytes.size - COUNTER_MEMBER.size).firstOrNull { start ->
+    bytes[start] == COUNTER_MEMBER[0] && COUNTER_MEMBER.indices.all { bytes[start + it] == COUNTER_MEMBER[it] }
+} ?: -1
+
+private fun endOfDigits(bytes: ByteArray, from: Int): Int {
+    var end = from
+    while (end < bytes.size && bytes[end] in ZERO..NINE) end++
+    return end
+}
+
+private const val ZERO = '0'.code.toByte()
+private const val NINE = '9'.code.toByte()
+
 /** Numbers of an entry that are not used here but show that the entry is a worker's. */
 private fun hasValidCounters(body: JsonObject): Boolean =
     listOf("slots", "seq", "cold_left_ms").all { it !in body || (body.double(it) ?: -1.0) >= 0.0 }
--- a/src/main/kotlin/dandelionpoint/platform/PlatformPorts.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformPorts.kt
@@ -19,6 +19,8 @@
 private object PlatformDocuments : DocumentReader {
     override fun worker(id: String, bytes: ByteArray): WorkerEntry? = decodeWorker(id, bytes)
 
+    override fun isSameWorker(earlier: ByteArray, later: ByteArray): Boolean = areEqualButForCounter(earlier, later)
+
     override fun configuration(bytes: ByteArray): FleetConfiguration? = decodeConfiguration(bytes)
 }
 
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -66,7 +66,7 @@
     }
 
     override fun start(vm: VmIdentity) {
-        local = LocalPeer(cluster, vm) { connections.keys.toSet() }
+        local = LocalPeer(cluster, vm) { connections.keys.shuffled().take(MAX_KNOWN_IN_HELLO).toSet() }
         scope.launch {
             while (isActive) {
                 val socket = runCatching { server.accept() }.getOrElse { return@launch }
@@ -186,6 +186,9 @@
 
     private companion object {
         const val MAX_INBOUND_CONNECTIONS = 512
+
+        /** Number of peers that the first frame of a connection names: enough to find all others, while the frame stays small. */
+        const val MAX_KNOWN_IN_HELLO = 8
         const val CONNECT_TIMEOUT_MS = 1_000L
         const val MIN_RECONNECT_DELAY_MS = 100L
         const val MAX_RECONNECT_DELAY_MS = 1_000L
--- a/src/test/kotlin/dandelionpoint/fleet/FleetTablesTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/FleetTablesTest.kt
@@ -155,6 +155,20 @@
                 }
             }
 
+            // Guards against a worker that is missed because its row is taken for one that was decoded before.
+            it("shows a worker again whose row was removed and written anew with the same content") {
+                TablesFixture(PlatformDocuments).use { fixture ->
+                    fixture.workerWrites("w")
+                    fixture.workerWrites("v")
+                    fixture.follow()
+                    fixture.awaitWorkers("v", "w")
+                    fixture.store.write(WORKERS, "w", value = null, expected = null)
+                    fixture.awaitWorkers("v")
+                    fixture.workerWrites("w")
+                    fixture.awaitWorkers("v", "w")
+                }
+            }
+
             // Guards against an error of the decoder that ends the coroutine, whatever its cause.
             it("is followed when an entry cannot be decoded because of an error") {
                 TablesFixture(PlatformDocuments).use { fixture ->
--- /dev/null
+++ b/src/test/kotlin/dandelionpoint/fleet/HeartbeatSenderTest.kt
@@ -0,0 +1,105 @@
+package dandelionpoint.fleet
+
+import dandelionpoint.protocol.SchedulerClock
+import dandelionpoint.protocol.peer.FleetHeartbeat
+import dandelionpoint.protocol.peer.PeerMessage
+import dandelionpoint.protocol.peer.PeerReply
+import dandelionpoint.protocol.peer.VmIdentity
+import dandelionpoint.transport.peer.PeerAddress
+import dandelionpoint.transport.peer.PeerTransport
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeInRange
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runTest
+
+private fun vm(name: String, dataCentre: String) = VmIdentity(name, "incarnation-$name", "north", dataCentre, "127.0.0.1", 1)
+
+private val NEAR = vm("near", "akl-a")
+private val FAR = vm("far", "ham-a")
+private val PARTNER = vm("partner", "ham-a")
+
+/** Counts the heartbeats to each peer. */
+private class CountingTransport : PeerTransport {
+    val sent = HashMap<VmIdentity, Int>()
+
+    override fun send(receivers: Collection<VmIdentity>, message: PeerMessage) = receivers.forEach { sent.merge(it, 1, Int::plus) }
+
+    override fun connected() = setOf(NEAR, FAR, PARTNER)
+
+    override suspend fun bind(host: String, port: Int) = port
+
+    override fun start(vm: VmIdentity) = Unit
+
+    override fun connect(address: PeerAddress) = Unit
+
+    override fun drop(vm: VmIdentity) = Unit
+
+    override fun dropAll() = Unit
+
+    override fun close() = Unit
+
+    override fun send(to: VmIdentity, message: PeerMessage) = Unit
+
+    override suspend fun call(to: VmIdentity, message: PeerMessage, timeoutMs: Long) = PeerReply.NotSent("not used")
+}
+
+private class Source(var waiting: Set<VmIdentity> = emptySet()) : HeartbeatSource {
+    override fun heartbeat(isSameDataCentre: Boolean) = FleetHeartbeat()
+
+    override fun partners() = setOf(PARTNER)
+
+    override fun isWaiting(vm: VmIdentity) = vm in waiting
+}
+
+/**
+ * Guards against heartbeats that grow with the square of the number of VMs, and against VMs that are declared lost because those that
+ * depend on them get too few.
+ */
+internal class HeartbeatSenderTest :
+    DescribeSpec({
+        fun withSender(source: Source = Source(), test: suspend (CountingTransport, HeartbeatSender) -> Unit) = runTest {
+            val scope = CoroutineScope(coroutineContext + SupervisorJob())
+            val transport = CountingTransport()
+            val sender = HeartbeatSender(transport, "akl-a", SchedulerClock(this), source)
+            scope.launch { sender.run() }
+            test(transport, sender)
+            scope.cancel()
+        }
+
+        it("sends heartbeats often within the data centre and to partners, seldom to all other VMs") {
+            withSender { transport, _ ->
+                delay(6_000)
+                transport.sent.getValue(NEAR) shouldBeInRange 35..40
+                transport.sent.getValue(PARTNER) shouldBeInRange 35..40
+                transport.sent.getValue(FAR) shouldBeInRange 8..10
+            }
+        }
+
+        it("tells the peers with waiting jobs of free capacity at once, and no others") {
+            withSender(Source(waiting = setOf(NEAR))) { transport, sender ->
+                delay(160)
+                val before = HashMap(transport.sent)
+                delay(30)
+                sender.announceCapacity()
+                delay(10)
+                transport.sent.getValue(NEAR) - before.getValue(NEAR) shouldBe 1
+                transport.sent[FAR] shouldBe before[FAR]
+            }
+        }
+
+        it("tells the VMs of the data centre of a change at once") {
+            withSender { transport, sender ->
+                delay(160)
+                val before = transport.sent.getValue(NEAR)
+                delay(30)
+                sender.announceChange()
+                delay(10)
+                transport.sent.getValue(NEAR) - before shouldBe 1
+            }
+        }
+    })
--- a/src/test/kotlin/dandelionpoint/fleet/RemoteCapacityTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/RemoteCapacityTest.kt
@@ -1,11 +1,15 @@
 package dandelionpoint.fleet
 
+import dandelionpoint.coordination.fleet.POOL
+import dandelionpoint.coordination.fleet.order
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.peer.FleetHeartbeat
 import dandelionpoint.protocol.peer.FreeCapacity
 import dandelionpoint.protocol.peer.VmIdentity
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import kotlin.random.Random
 
 /** Guards against a sum of the capacities in heartbeats that overflows, by which all jobs of a pool would be refused. */
 internal class RemoteCapacityTest :
@@ -20,4 +24,15 @@
             remote.cores("p", hasOwnCell = true) shouldBeGreaterThan 0.0
             remote.cores("p", hasOwnCell = false) shouldBeGreaterThan 0.0
         }
+
+        it("workers of the own data centre are used before those of others, whose bytes and latency cost more") {
+            val remote = RemoteCapacity("akl-a", Random(1))
+            val free = mapOf(POOL to List(4) { FreeCapacity(Demand(7_000, 64), speed = 1f) })
+            val near = VmIdentity("near", "incarnation-near", "north", "akl-a", "127.0.0.1", 1)
+            val far = near.copy(name = "far", incarnation = "incarnation-far", dataCentre = "ham-a")
+            remote.update(near, FleetHeartbeat(freeCapacity = free))
+            remote.update(far, FleetHeartbeat(freeCapacity = free))
+            List(4) { remote.reserve(order(index = it))?.first } shouldBe List(4) { near }
+            remote.reserve(order(index = 4))?.first shouldBe far
+        }
     })
--- a/src/test/kotlin/dandelionpoint/platform/OddDocumentsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/OddDocumentsTest.kt
@@ -43,6 +43,27 @@
  */
 internal class OddDocumentsTest :
     DescribeSpec({
+        // Guards against a change of a worker, such as its draining, that is taken for a heartbeat and not decoded.
+        describe("two registrations of one worker") {
+            fun isSame(earlier: String, later: String) = areEqualButForCounter(earlier.encodeToByteArray(), later.encodeToByteArray())
+            val first = """{"address":"10.1.0.1:1","seq":9,"state":"ready"}"""
+
+            it("are the same only if nothing but the number of the heartbeat differs") {
+                isSame(first, first.replace("9", "10")) shouldBe true
+                isSame(first, first.replace("ready", "draining")) shouldBe false
+                isSame(first, first.replace("10.1.0.1", "10.1.0.2")) shouldBe false
+                isSame(first, first.replace("9", "10").replace("ready", "lost!")) shouldBe false
+            }
+
+            it("differ if the counter is missing, not a whole number or there twice") {
+                isSame("{}", "{}") shouldBe false
+                isSame("""{"seq":"1"}""", """{"seq":"2"}""") shouldBe false
+                isSame("""{"seq":1.5}""", """{"seq":1.6}""") shouldBe false
+                isSame("""{"seq":1,"seq":1}""", """{"seq":1,"seq":2}""") shouldBe false
+                isSame("""{"seq":1""", """{"seq":""") shouldBe false
+            }
+        }
+
         describe("a decoder") {
             // Guards against a StackOverflowError, which ends the coroutine that follows a table.
             DECODERS.forEach { (name, decoder) ->
