Send heartbeats to other data centres more often where there are few of them

The interval follows from the number of peers now, 30 ms for each and 1.2 s at most, and VMs of other data centres that have waiting jobs are told of free capacity at once, at most 8 of them.

--- a/src/main/kotlin/dandelionpoint/fleet/CellHandovers.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellHandovers.kt
@@ -13,7 +13,7 @@
 import dandelionpoint.protocol.peer.WorkersReleased
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
-import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
 
 /** Handovers in progress. [openJobs] returns the ids of the jobs of a cell that this VM has in progress. */
 internal class CellHandovers(
@@ -34,7 +34,7 @@
         var sentAt = Long.MIN_VALUE / 2
     }
 
-    private val handovers = ConcurrentHashMap.newKeySet<Handover>()
+    private val handovers = CopyOnWriteArrayList<Handover>()
 
     /** The cell of [controller] belongs to [successor] now. */
     fun begin(controller: CellController, successor: VmIdentity) {
--- a/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
@@ -1,8 +1,8 @@
 /*
  * Sends this VM's heartbeats. Peers of the same data centre, and those of other data centres that run tasks or dispatch jobs for this VM,
- * get them at a short interval, since they end that work when this VM is lost. The other peers get them at a longer one: with an equal
- * interval, the heartbeats between all VMs would grow with the square of their number. Peers with waiting jobs learn of new free capacity
- * at once.
+ * get them at a short interval, since they end that work when this VM is lost. The other peers get them at an interval that grows with
+ * their number: otherwise the heartbeats between all VMs would grow with the square of it. Peers with waiting jobs learn of new free
+ * capacity at once.
  */
 package dandelionpoint.fleet
 
@@ -62,7 +62,7 @@
                 sentAt = clock.millis()
                 sendToAllDue(sentAt)
             } else {
-                send(network.connected().filter { it.dataCentre == dataCentre && source.isWaiting(it) }, isSameDataCentre = true)
+                sendToWaiting()
             }
             delay(MIN_INTERVAL_MS)
         }
@@ -71,12 +71,21 @@
     private fun sendToAllDue(now: Long) {
         val (near, far) = network.connected().partition { it.dataCentre == dataCentre }
         send(near, isSameDataCentre = true)
-        val isFarDue = now - lastToAllAt >= FAR_INTERVAL_MS - MIN_INTERVAL_MS
+        val farIntervalMs = (far.size * FAR_INTERVAL_PER_PEER_MS).coerceAtMost(MAX_FAR_INTERVAL_MS)
+        val isFarDue = now - lastToAllAt >= farIntervalMs - MIN_INTERVAL_MS
         if (isFarDue) lastToAllAt = now
         val partners = if (isFarDue) emptySet() else source.partners()
         send(far.filter { isFarDue || it in partners }, isSameDataCentre = false)
     }
 
+    /** Peers of the data centre come first. The number is limited, since a VM with free capacity can take work from a few only. */
+    private fun sendToWaiting() {
+        val (near, far) = network.connected().filter { source.isWaiting(it) }.partition { it.dataCentre == dataCentre }
+        val chosen = near.take(MAX_WAITING_RECEIVERS)
+        send(chosen, isSameDataCentre = true)
+        send(far.take(MAX_WAITING_RECEIVERS - chosen.size), isSameDataCentre = false)
+    }
+
     private fun send(receivers: List<VmIdentity>, isSameDataCentre: Boolean) {
         if (receivers.isNotEmpty()) network.send(receivers, source.heartbeat(isSameDataCentre))
     }
@@ -85,8 +94,14 @@
         /** Interval of the heartbeats to the peers of the data centre and to partners, in ms. */
         private const val INTERVAL_MS = 150L
 
-        /** Interval of the heartbeats to all other peers, in ms. */
-        private const val FAR_INTERVAL_MS = 1_200L
+        /** Interval of the heartbeats to all other peers, in ms for each of them. */
+        private const val FAR_INTERVAL_PER_PEER_MS = 30L
+
+        /** The same interval at most, in ms. */
+        private const val MAX_FAR_INTERVAL_MS = 1_200L
+
+        /** The most peers that are told at once of free capacity. */
+        private const val MAX_WAITING_RECEIVERS = 8
 
         /** Shortest time between two heartbeats, in ms. */
         private const val MIN_INTERVAL_MS = 20L
--- a/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
@@ -19,6 +19,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
 
 private val log = KotlinLogging.logger {}
 
@@ -38,7 +39,7 @@
     private val placementLock = Any()
 
     /** Controllers of cells that were handed over and in which runs are still in progress. A cell may be handed over several times. */
-    private val handedOver = ConcurrentHashMap.newKeySet<CellController>()
+    private val handedOver = CopyOnWriteArrayList<CellController>()
     private val formerOwners = ConcurrentHashMap<String, VmIdentity>()
 
     /** Number of workers of each cell that has any. */
--- a/src/main/kotlin/dandelionpoint/fleet/RemoteCapacity.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/RemoteCapacity.kt
@@ -42,8 +42,8 @@
     }
 
     /**
-     * Reserves capacity for [order] and returns the VM that has it; null if there is none. Of two workers that are chosen at random the
-     * faster one is taken, so that the VMs, which all know the same free capacity, do not all choose the same worker.
+     * Reserves capacity for [order] and returns the VM that has it; null if there is none. Of a few workers that are chosen at random
+     * the fastest one is taken, so that the VMs, which all know the same free capacity, do not all choose the same worker.
      */
     fun reserve(order: RunOrder): Pair<VmIdentity, RunLocation.Remote>? = synchronized(lock) {
         val fitting = workers.values.flatten().filter { it.pool == order.pool && it.free.covers(order.demand) }
@@ -66,7 +66,7 @@
 
     private companion object {
         /** Number of workers of which the fastest one is taken. */
-        const val CHOICES = 2
+        const val CHOICES = 4
 
         /** Thousandths of a core in a core. */
         const val MILLI = 1_000.0
--- a/src/test/kotlin/dandelionpoint/fleet/HeartbeatSenderTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/HeartbeatSenderTest.kt
@@ -20,7 +20,9 @@
 private fun vm(name: String, dataCentre: String) = VmIdentity(name, "incarnation-$name", "north", dataCentre, "127.0.0.1", 1)
 
 private val NEAR = vm("near", "akl-a")
-private val FAR = vm("far", "ham-a")
+
+/** So many peers of other data centres that heartbeats to them have the longest interval. */
+private val FAR = List(60) { vm("far-$it", "ham-a") }
 private val PARTNER = vm("partner", "ham-a")
 
 /** Counts the heartbeats to each peer. */
@@ -29,7 +31,7 @@
 
     override fun send(receivers: Collection<VmIdentity>, message: PeerMessage) = receivers.forEach { sent.merge(it, 1, Int::plus) }
 
-    override fun connected() = setOf(NEAR, FAR, PARTNER)
+    override fun connected() = setOf(NEAR, PARTNER) + FAR
 
     override suspend fun bind(host: String, port: Int) = port
 
@@ -76,7 +78,7 @@
                 delay(6_000)
                 transport.sent.getValue(NEAR) shouldBeInRange 35..40
                 transport.sent.getValue(PARTNER) shouldBeInRange 35..40
-                transport.sent.getValue(FAR) shouldBeInRange 4..5
+                FAR.forEach { transport.sent.getValue(it) shouldBeInRange 4..5 }
             }
         }
 
@@ -88,7 +90,7 @@
                 sender.announceCapacity()
                 delay(10)
                 transport.sent.getValue(NEAR) - before.getValue(NEAR) shouldBe 1
-                transport.sent[FAR] shouldBe before[FAR]
+                FAR.forEach { transport.sent[it] shouldBe before[it] }
             }
         }
 
