--- a/src/test/kotlin/dandelionpoint/fleet/CellClaimsTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/CellClaimsTest.kt
@@ -23,6 +23,9 @@
 private const val STEP_MS = 150L
 private val CELLS = Cells.of(DATA_CENTRE).toSet()
 
+/** So many workers that several VMs are needed. */
+private val WORKERS = CELLS.associateWith { 1 }
+
 private class CountingRows(private val rows: SharedRows) : SharedRows by rows {
     var writes = 0
 
@@ -66,7 +69,7 @@
 
         suspend fun step() {
             val candidates = vms.values.filter { !it.isStopping }.map { Candidate(it.self.name, DATA_CENTRE, it.self.cpuMilli) }.toSet()
-            plan.update(DATA_CENTRE, candidates, emptyMap(), clock.millis())
+            plan.update(DATA_CENTRE, candidates, WORKERS, clock.millis())
             claims.step()
         }
     }
