--- a/src/main/kotlin/dandelionpoint/platform/PlatformPorts.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformPorts.kt
@@ -36,7 +36,10 @@
     )
 }
 
-private suspend fun canConnect(worker: WorkerEntry): Boolean = withContext(Dispatchers.IO) {
+/** Threads for trial connections, which block. They are not taken from those of the peer connections, whose number may be small. */
+private val CONNECTION_TRIALS = Dispatchers.IO.limitedParallelism(1)
+
+private suspend fun canConnect(worker: WorkerEntry): Boolean = withContext(CONNECTION_TRIALS) {
     try {
         Socket().use { it.connect(InetSocketAddress(worker.host, worker.port), CONNECT_TIMEOUT_MS) }
         true
