--- a/src/main/kotlin/dandelionpoint/fleet/CellHandovers.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellHandovers.kt
@@ -41,14 +41,11 @@
         handovers += Handover(controller, successor)
     }
 
-    /** True while a handover is not complete. */
-    fun isBusy(): Boolean = handovers.isNotEmpty()
-
     /** Sends the reports that are due, and ends the handovers that are complete. */
     fun tick() = handovers.forEach { handover ->
         val report = report(handover)
         when {
-            !isLive(handover.successor) || (report == handover.confirmed && isComplete(handover, report)) -> finish(handover, report)
+            isComplete(handover, report) -> finish(handover)
             report != null && isDue(handover, report) -> send(handover, report)
         }
     }
@@ -62,13 +59,17 @@
 
     private fun isComplete(handover: Handover, report: WorkersReleased?): Boolean {
         val cell = handover.controller.cell
-        return report != null && report.openJobs.isEmpty() && cell.runCount() == 0 && !cell.isAwaitingRelease()
+        return when {
+            cell.runCount() > 0 -> false
+
+            // Nobody waits for a report any more.
+            !isLive(handover.successor) -> true
+
+            else -> report != null && report == handover.confirmed && report.openJobs.isEmpty() && !cell.isAwaitingRelease()
+        }
     }
 
-    /** A VM that has lost its successor keeps its runs and their leases until they have ended. */
-    private fun finish(handover: Handover, report: WorkersReleased?) {
-        if (handover.controller.cell.runCount() > 0) return
-        if (isLive(handover.successor) && !isComplete(handover, report)) return
+    private fun finish(handover: Handover) {
         handovers -= handover
         cells.finishHandover(handover.controller)
     }
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -282,8 +282,8 @@
         }
 
         override fun lost(cell: String, successor: VmIdentity?, handover: Boolean) {
-            val controller = cells.lose(cell, handover)
-            if (controller != null && successor != null) handovers.begin(controller, successor)
+            val handedOver = cells.lose(cell, handover && successor != null)
+            if (handedOver != null && successor != null) handovers.begin(handedOver, successor)
             heartbeats.announceChange()
         }
 
--- a/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
@@ -17,6 +17,7 @@
 import dandelionpoint.protocol.peer.JobCancel
 import dandelionpoint.protocol.peer.JobOffer
 import dandelionpoint.protocol.peer.PeerMessage
+import dandelionpoint.protocol.peer.ReleaseAnswer
 import dandelionpoint.protocol.peer.RemoteRunRequest
 import dandelionpoint.protocol.peer.RunCancel
 import dandelionpoint.protocol.peer.VmIdentity
@@ -89,7 +90,7 @@
 
             is WorkersReleased -> {
                 onReport(from, message)
-                CancelAnswer
+                ReleaseAnswer
             }
 
             is CellHandover -> {
--- a/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
@@ -108,8 +108,13 @@
 
 /**
  * The sender has no more runs on these workers of [cell], which the receiver owns now and may use from here on. Of the jobs of the cell it
- * still has [openJobs] in progress.
+ * still has [openJobs] in progress. Repeated until it is answered by a [ReleaseAnswer], and after each change.
  */
 @Serializable
 @SerialName("WorkersReleased")
 data class WorkersReleased(val cell: String, val workerIds: Set<String>, val openJobs: Set<String> = emptySet()) : FleetMessage
+
+/** Reply to [WorkersReleased]. */
+@Serializable
+@SerialName("ReleaseAnswer")
+data object ReleaseAnswer : FleetMessage
