Keep the loops of a VM going after an unexpected error

Each step is guarded now; the 1st, 2nd, 4th, 8th ... failure is logged as event=loop_step_failed. An error of a call to a worker counts as a call without an answer.

LoopGuardTest: a store whose transactions end with an error, and a worker whose lease calls and starts do.

--- a/src/main/kotlin/dandelionpoint/fleet/CellController.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellController.kt
@@ -50,11 +50,12 @@
 internal class CellController(
     private val vmScope: CoroutineScope,
     val cell: Cell,
-    private val port: WorkerPort,
+    port: WorkerPort,
     private val listener: CellListener,
     private val clock: Clock = Clock.System,
     private val rules: FleetRules = FleetRules(),
 ) {
+    private val port = GuardedWorkerPort(port)
     private val controllerJob = SupervisorJob(vmScope.coroutineContext[Job])
     private val scope = CoroutineScope(vmScope.coroutineContext + controllerJob)
     private val wakeSignals = ConcurrentHashMap<String, Channel<Unit>>()
@@ -172,19 +173,22 @@
     }
 
     private suspend fun leaseLoop(id: String, signal: Channel<Unit>) {
+        val guard = LoopGuard("lease of $id")
         while (scope.isActive && id in cell.workerIds()) {
-            val plan = cell.planLease(id, clock.millis())
-            if (plan == null) {
-                withTimeoutOrNull(IDLE_CHECK_MS) { signal.receive() }
-            } else if (plan.isAcknowledgement() && withTimeoutOrNull(ACKNOWLEDGE_MS) { signal.receive() } != null) {
-                continue
-            } else {
-                lease(plan)
-            }
+            guard.attempt("lease") { leaseStep(id, signal) } ?: delay(RETRY_MS)
         }
         wakeSignals.remove(id)
     }
 
+    private suspend fun leaseStep(id: String, signal: Channel<Unit>) {
+        val plan = cell.planLease(id, clock.millis())
+        if (plan == null) {
+            withTimeoutOrNull(IDLE_CHECK_MS) { signal.receive() }
+        } else if (!plan.isAcknowledgement() || withTimeoutOrNull(ACKNOWLEDGE_MS) { signal.receive() } == null) {
+            lease(plan)
+        }
+    }
+
     /** True for a call that only acknowledges ended runs. It may be delayed, to be combined with the call for the next run. */
     private fun LeasePlan.isAcknowledgement() =
         call.leaseUntilMs == null && call.waitMs == 0 && call.seenEnd > 0 && !cell.hasRuns(worker.id)
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -139,9 +139,10 @@
     }
 
     private suspend fun claimLoop() {
+        val guard = LoopGuard("claims")
         while (scope.isActive) {
-            updatePlan()
-            claims.step()
+            guard.attempt("plan") { updatePlan() }
+            guard.attempt("claim") { claims.step() }
             delay(CLAIM_STEP_MS)
         }
     }
@@ -332,12 +333,13 @@
     }
 
     private suspend fun tickLoop() {
+        val guard = LoopGuard("tick")
         while (scope.isActive) {
-            admission.tick()
-            peers.liveness.removeLost(clock.millis()).forEach { peerLost(it) }
-            cells.tick()
-            handovers.tick()
-            runner.tick()
+            guard.attempt("admission") { admission.tick() }
+            guard.attempt("peers") { peers.liveness.removeLost(clock.millis()).forEach { peerLost(it) } }
+            guard.attempt("cells") { cells.tick() }
+            guard.attempt("handovers") { handovers.tick() }
+            guard.attempt("jobs") { runner.tick() }
             delay(TICK_MS)
         }
     }
--- a/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
@@ -54,15 +54,16 @@
 
     /** Sends heartbeats until cancelled. */
     suspend fun run() {
+        val guard = LoopGuard("heartbeats")
         var sentAt = clock.millis()
         while (currentCoroutineContext().isActive) {
             withTimeoutOrNull(sentAt + INTERVAL_MS - clock.millis()) { due.receive() }
             val isDue = clock.millis() >= sentAt + INTERVAL_MS
             if (isDue || hasChanged.getAndSet(false)) {
                 sentAt = clock.millis()
-                sendToAllDue(sentAt)
+                guard.attempt("send") { sendToAllDue(sentAt) }
             } else {
-                sendToWaiting()
+                guard.attempt("announce") { sendToWaiting() }
             }
             delay(MIN_INTERVAL_MS)
         }
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -73,9 +73,10 @@
     /** Starts the loop that places waiting tasks on workers. */
     fun start() {
         scope.launch {
+            val guard = LoopGuard("schedule")
             while (isActive) {
                 wakeUp.receive()
-                handle(dispatch.schedule(clock.millis(), placer))
+                guard.attempt("schedule") { handle(dispatch.schedule(clock.millis(), placer)) }
             }
         }
     }
