--- a/src/main/kotlin/dandelionpoint/coordination/fleet/CellDirectory.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/CellDirectory.kt
@@ -28,9 +28,4 @@
 
     /** True if any peer owns a cell. */
     fun hasOwners(): Boolean = synchronized(lock) { tokens.isNotEmpty() }
-
-    /** Peers that own a cell of [dataCentre]. */
-    fun ownersIn(dataCentre: String): Set<VmIdentity> = synchronized(lock) {
-        tokens.filterValues { cells -> cells.keys.any { Cells.dataCentreOf(it) == dataCentre } }.keys.toSet()
-    }
 }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -262,9 +262,6 @@
     fun openJobs(matches: (String) -> Boolean): Set<String> =
         synchronized(lock) { (jobs.keys + stopping.jobIds()).filterTo(HashSet(), matches) }
 
-    /** True if a job has a task that waits for capacity. */
-    fun hasWaitingTasks(now: Long): Boolean = synchronized(lock) { jobs.values.any { it.waiting(now).isNotEmpty() } }
-
     /** True if [attempt] was submitted here or cancelled, and has not been forgotten since. */
     fun has(attempt: AttemptKey): Boolean =
         synchronized(lock) { attempt in answers || jobs[attempt.jobId]?.attempts?.contains(attempt) == true }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/FormerDispatchers.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/FormerDispatchers.kt
@@ -19,11 +19,6 @@
         synchronized(lock) { formers[cell] = Former(former) }
     }
 
-    /** Another VM owns [cell] now. */
-    fun lost(cell: String) {
-        synchronized(lock) { formers.remove(cell) }
-    }
-
     /** [from] has no jobs of [cell] in progress but [openJobs]. A report of a VM that is not the cell's former owner is ignored. */
     fun onReport(cell: String, from: VmIdentity, openJobs: Set<String>) {
         synchronized(lock) { formers[cell]?.takeIf { it.vm == from }?.openJobs = openJobs }
--- a/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
@@ -39,7 +39,7 @@
 ) {
     private val due = Channel<Unit>(Channel.CONFLATED)
     private val hasChanged = AtomicBoolean()
-    private var lastToAllAt = Long.MIN_VALUE / 2
+    private var sentToFarAt = Long.MIN_VALUE / 2
 
     /** The cells, the configuration or the state of this VM has changed: sends a heartbeat without waiting for the interval. */
     fun announceChange() {
@@ -73,8 +73,8 @@
         val (near, far) = network.connected().partition { it.dataCentre == dataCentre }
         send(near, isSameDataCentre = true)
         val farIntervalMs = (far.size * FAR_INTERVAL_PER_PEER_MS).coerceAtMost(MAX_FAR_INTERVAL_MS)
-        val isFarDue = now - lastToAllAt >= farIntervalMs - MIN_INTERVAL_MS
-        if (isFarDue) lastToAllAt = now
+        val isFarDue = now - sentToFarAt >= farIntervalMs - MIN_INTERVAL_MS
+        if (isFarDue) sentToFarAt = now
         val partners = if (isFarDue) emptySet() else source.partners()
         send(far.filter { isFarDue || it in partners }, isSameDataCentre = false)
     }
--- a/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
@@ -47,7 +47,7 @@
 
     fun has(jobId: String): Boolean = attempts.keys.any { it.jobId == jobId }
 
-    /** Incarnations of the VMs that dispatch jobs of this VM's clients, without this VM. */
+    /** The other VMs that jobs of this VM's clients were offered to. */
     fun dispatchers(): Set<VmIdentity> = attempts.values.mapNotNullTo(HashSet()) { it.dispatcher }
 
     /** Runs a job whose client waits for [waitMs] ms, until [signal] is cancelled. */
