--- a/src/test/kotlin/dandelionpoint/settings/FleetSettingsTest.kt
+++ b/src/test/kotlin/dandelionpoint/settings/FleetSettingsTest.kt
@@ -41,6 +41,17 @@
                 listOf("clients", "dataCentre", "graceSeconds", "regoin", "region").forEach { path -> faults.contains(path) shouldBe true }
             }
 
+            // Guards against a VM that gets no work, or all of it, because its processor share was misread.
+            it("give the processor share in thousandths of a core, one core if there is none, and refuse shares out of range") {
+                fun withShare(share: String) = read(VALID.replace("\"graceSeconds\"", "$share, \"graceSeconds\""))
+                read(VALID).shouldBeInstanceOf<Either.Right<FleetSettings>>().value.cpuMilli shouldBe 1_000
+                val twoCores = withShare("\"cpuShare\": 0.75, \"cores\": 2")
+                twoCores.shouldBeInstanceOf<Either.Right<FleetSettings>>().value.cpuMilli shouldBe 1_500
+                listOf("\"cpuShare\": 0", "\"cpuShare\": 1.5", "\"cpuShare\": \"much\"", "\"cores\": 0", "\"cores\": 1.5").forEach {
+                    withShare(it).shouldBeInstanceOf<Either.Left<*>>()
+                }
+            }
+
             it("have every key of the platform's template in the sample, and the sample is valid") {
                 val keys = { path: String ->
                     Regex("\"([A-Za-z]+)\":").findAll(Files.readString(Path.of(path))).map { it.groupValues[1] }.toSet()
