--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -201,13 +201,7 @@
     private fun unresponsiveMs(vm: VmIdentity): Long =
         if (vm.dataCentre == settings.dataCentre) rules.peerUnresponsiveMs else rules.farPeerUnresponsiveMs
 
-    private fun openJobs(cell: String): Set<String> = if (Cells.dataCentreOf(cell) !=
-        settings.dataCentre
-    ) {
-        emptySet()
-    } else {
-        dispatch.openJobs { Cells.ofJob(settings.dataCentre, it) == cell }
-    }
+    private fun openJobs(cell: String): Set<String> = dispatch.openJobs { Cells.ofJob(settings.dataCentre, it) == cell }
 
     // Callbacks from the components
 
