Restore how soon a VM has to know the free capacity of another data centre

CAPACITY_KNOWN_MS of FleetVmTest was raised from 450 to 2,400 ms with the longer heartbeat intervals between data centres.

--- a/src/test/kotlin/dandelionpoint/fleet/FleetVmTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/FleetVmTest.kt
@@ -24,8 +24,8 @@
 
 private const val DEADLINE_MS = 4_000L
 
-/** Two intervals of heartbeats between data centres: by then a VM knows the free capacity of a cell that another VM has just claimed. */
-private const val CAPACITY_KNOWN_MS = 2_400L
+/** Three heartbeat intervals: by then a VM knows the free capacity of a cell that another VM has just claimed. */
+private const val CAPACITY_KNOWN_MS = 450L
 
 private val ALL_CELLS = (Cells.of("akl-a") + Cells.of("ham-a")).toSet()
 
