Take over the cells of a VM at once when its process has ended

Cause: the cells of a killed VM had no owner until its heartbeats were missing for 0.7 s and its claim was stale after 1.3 s. Since jobs are dispatched under claims only, they would wait for that.

Change: a connection that is refused shows that no process listens at the peer's address. The peer is then lost at once, and its cells may be claimed although its claims are not stale. A machine that does not answer is treated as before. Runs of the ended process are stopped when the new owner has read the workers' run lists, or end with their leases.

Evidence: CellClaimsTest, PeerNetworkTest; OneRunPerTaskTest with killed VMs in a large data centre.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/CellDirectory.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/CellDirectory.kt
@@ -26,6 +26,9 @@
         tokens.entries.mapNotNull { (vm, cells) -> cells[cell]?.let { CellOwner(vm, it) } }.maxByOrNull { it.token }
     }
 
+    /** The cells that [vm] reports to own. */
+    fun cellsOf(vm: VmIdentity): Set<String> = synchronized(lock) { tokens[vm]?.keys.orEmpty() }
+
     /** True if any peer owns a cell. */
     fun hasOwners(): Boolean = synchronized(lock) { tokens.isNotEmpty() }
 }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/PeerLiveness.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/PeerLiveness.kt
@@ -65,6 +65,11 @@
         lost
     }
 
+    /** Removes [vm], whose process is known to have ended. */
+    fun remove(vm: VmIdentity) {
+        synchronized(lock) { peers.remove(vm.incarnation) }
+    }
+
     /** Records that this VM's process was paused for [pauseMs], as counted by the monotonic clock, before [now]. */
     fun onProcessPause(pauseMs: Long, now: Long) = synchronized(lock) {
         peers.values.forEach { it.countedAt = minOf(it.countedAt + pauseMs, now) }
--- a/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
@@ -73,8 +73,11 @@
     }
 
     private val claims = ConcurrentHashMap<String, OwnClaim>()
-    private val orphanedSince = HashMap<String, Long>()
+    private val orphanedSince = ConcurrentHashMap<String, Long>()
     private val handoverRequests = ConcurrentHashMap<String, VmIdentity>()
+
+    /** When the processes of former owners ended, by their incarnations. */
+    private val endedOwners = ConcurrentHashMap<String, Long>()
     private var hasReclaimed = false
 
     @Volatile
@@ -89,6 +92,14 @@
         handoverRequests[cell] = from
     }
 
+    /** The process of [vm], which owned [cells], has ended: its claims need not become stale before the cells are claimed. */
+    fun ownerEnded(vm: VmIdentity, cells: Set<String>) {
+        val now = clock.millis()
+        endedOwners.values.removeIf { now - it > ENDED_KEPT_MS }
+        endedOwners[vm.incarnation] = now
+        cells.forEach { orphanedSince[it] = NEVER }
+    }
+
     /** This process was paused for so long that other VMs may have claimed its cells: its claims count again once they are renewed. */
     fun onProcessPause() {
         pauses++
@@ -227,7 +238,8 @@
     }
 
     private fun isFree(current: CellClaim?, from: VmIdentity?, storeMs: Long): Boolean =
-        current == null || current.vm.name == host.self.name || current.vm == from || ClaimRules.isStale(current, storeMs, rules)
+        current == null || current.vm.name == host.self.name || current.vm == from || endedOwners.containsKey(current.vm.incarnation) ||
+            ClaimRules.isStale(current, storeMs, rules)
 
     private fun gained(claim: OwnClaim, from: VmIdentity?) {
         claims[claim.cell] = claim
@@ -267,6 +279,9 @@
         /** A claim that is lost within this time after the cell was offered was handed over, in ms. */
         private const val HANDOVER_MS = 3_000L
 
+        /** How long it is remembered that an owner's process has ended, in ms: longer than its cells take to be claimed. */
+        private const val ENDED_KEPT_MS = 60_000L
+
         /** A time before any other. */
         private const val NEVER = Long.MIN_VALUE / 2
         private val JSON = Json { ignoreUnknownKeys = true }
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -53,7 +53,7 @@
 private val log = KotlinLogging.logger {}
 
 /** Creates the connections of a VM to its peers, which run in the scope and pass the peers' messages to the handler. */
-internal typealias PeerTransportFactory = (CoroutineScope, PeerHandler) -> PeerTransport
+internal typealias PeerTransportFactory = (CoroutineScope, PeerHandler, PeerEvents) -> PeerTransport
 
 /** One entry VM. Its loops run in [context]. Times are in ms. */
 internal class FleetVm(
@@ -64,11 +64,11 @@
     private val incarnation: String = UUID.randomUUID().toString(),
     context: CoroutineContext = Dispatchers.Default,
     random: Random = Random.Default,
-    transport: PeerTransportFactory = { scope, handler -> PeerNetwork(scope, CLUSTER, handler, NoPeerEvents) },
+    transport: PeerTransportFactory = { scope, handler, events -> PeerNetwork(scope, CLUSTER, handler, events) },
 ) : FleetJobService {
     /** Scope of all loops of this VM; [close] cancels it. */
     val scope = CoroutineScope(context + SupervisorJob(context[Job]))
-    private val network: PeerTransport = transport(scope) { from, message -> peerRequests.handle(from, message) }
+    private val network: PeerTransport = transport(scope, { from, message -> peerRequests.handle(from, message) }, Connections())
     private val peers = PeerState(::unresponsiveMs, RemoteCapacity(settings.dataCentre, random))
     private val tables = FleetTables(ports, Tables(), clock, rules)
     private val cells = OwnedCells(scope, ports.workers, Runs(), { tables.workers() }, clock, rules, ::heardAt)
@@ -95,10 +95,19 @@
     override var isStopping = false
         private set
 
-    private object NoPeerEvents : PeerEvents {
+    private inner class Connections : PeerEvents {
         override fun connected(vm: VmIdentity) = Unit
 
         override fun disconnected(vm: VmIdentity) = Unit
+
+        /** The process has ended, so that its cells need not stay without an owner until its claims are stale. */
+        override fun refused(address: PeerAddress) {
+            val ended = peers.liveness.live().map { it.vm }.firstOrNull { it.host == address.host && it.port == address.port } ?: return
+            log.info { "event=peer_ended peer=${ended.name} incarnation=${ended.incarnation}" }
+            claims.ownerEnded(ended, peers.directory.cellsOf(ended))
+            peers.liveness.remove(ended)
+            peerLost(ended)
+        }
     }
 
     /** Binds the peer port and starts all loops. Throws IOException if the port is in use. */
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -22,6 +22,7 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
+import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -32,6 +33,9 @@
     fun connected(vm: VmIdentity)
 
     fun disconnected(vm: VmIdentity)
+
+    /** No process listens at [address]: the one that did has ended. */
+    fun refused(address: PeerAddress) = Unit
 }
 
 /** All peer connections of this VM. [handler] gets the messages from all peers; it and [events] are called from several threads. */
@@ -135,6 +139,8 @@
             connection.serve(scope)
         } catch (e: CancellationException) {
             if (!scope.isActive) throw e
+        } catch (e: ConnectException) {
+            events.refused(address)
         } catch (e: Exception) {
             logConnectionEnd("outbound to ${address.host}:${address.port}", e)
         } finally {
--- a/src/test/kotlin/dandelionpoint/fleet/CellClaimsTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/CellClaimsTest.kt
@@ -67,6 +67,8 @@
 
         override fun offer(cell: String, successor: VmIdentity) = vms.getValue(successor.name).claims.handover(cell, self)
 
+        fun ownerEnded(vm: ClaimingVm) = claims.ownerEnded(vm.self, vm.owned.keys)
+
         fun onProcessPause() = claims.onProcessPause()
 
         fun isProven(cell: String) = claims.isProven(cell)
@@ -119,6 +121,19 @@
                 }
             }
 
+            it("take over the cells of a VM whose process has ended, before its claims are stale") {
+                withVms {
+                    val first = start("vm-1")
+                    runFor(1_500)
+                    val second = start("vm-2")
+                    runFor(STEP_MS)
+                    vms.remove("vm-1")
+                    second.ownerEnded(first)
+                    runFor(2 * STEP_MS)
+                    second.owned.keys shouldBe CELLS
+                }
+            }
+
             // What is in progress at such a VM is known to it alone, and another VM may have its cells by now.
             it("do not count a claim as theirs after a long pause until the store has shown it") {
                 withVms {
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedNetwork.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedNetwork.kt
@@ -8,13 +8,20 @@
 /** All VMs and their connections. [onRemoteRun] is called for each request for a remote run that is sent. */
 internal class SimulatedNetwork(val world: SimulationWorld, val onRemoteRun: (VmIdentity, VmIdentity, RemoteRunRequest) -> Unit) {
     private val listening = LinkedHashMap<PeerAddress, SimulatedTransport>()
+
+    /** Names of the VMs whose process has ended while their machine runs, by their addresses. */
+    private val refusing = HashMap<PeerAddress, String>()
     private val connections = mutableListOf<SimulatedConnection>()
     private val cuts = HashMap<Pair<String, String>, Long>()
 
     fun listen(address: PeerAddress, transport: SimulatedTransport) {
         listening[address] = transport
+        refusing -= address
     }
 
+    /** True if a connection from the VM [from] to [address] is refused. A machine that is lost or cut off does not answer. */
+    fun refuses(from: String, address: PeerAddress): Boolean = refusing[address]?.let { !isCut(from, it) } ?: false
+
     fun listener(address: PeerAddress): SimulatedTransport? = listening[address]
 
     fun add(connection: SimulatedConnection) {
@@ -38,6 +45,7 @@
 
     /** Ends the process of [transport]. Its peers see its connections close unless its whole machine is lost ([isMachineLost]). */
     fun kill(transport: SimulatedTransport, isMachineLost: Boolean) {
+        if (!isMachineLost) listening.filterValues { it === transport }.keys.forEach { refusing[it] = transport.name }
         listening.values.remove(transport)
         open().forEach { connection ->
             ConnectionEnd.entries.filter { connection.transportAt(it) === transport }.forEach {
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
@@ -9,6 +9,7 @@
 import dandelionpoint.protocol.peer.RunCancel
 import dandelionpoint.protocol.peer.VmIdentity
 import dandelionpoint.transport.peer.PeerAddress
+import dandelionpoint.transport.peer.PeerEvents
 import dandelionpoint.transport.peer.PeerHandler
 import dandelionpoint.transport.peer.PeerTransport
 import kotlinx.coroutines.CompletableDeferred
@@ -24,6 +25,7 @@
     val name: String,
     private val scope: CoroutineScope,
     private val handler: PeerHandler,
+    private val events: PeerEvents,
 ) : PeerTransport {
     private val world = network.world
     private val outbound = LinkedHashMap<VmIdentity, SimulatedConnection>()
@@ -62,7 +64,7 @@
     }
 
     private suspend fun open(address: PeerAddress): SimulatedConnection? {
-        val target = network.listener(address) ?: return null
+        val target = network.listener(address) ?: return null.also { if (network.refuses(name, address)) events.refused(address) }
         if (network.isCut(name, target.name)) {
             delay(CONNECT_TIMEOUT_MS)
             return null
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
@@ -62,7 +62,7 @@
             incarnation = "$name-$incarnations",
             context = dispatcher + world.errorHandler,
             random = world.random,
-            transport = { scope, handler -> SimulatedTransport(network, name, scope, handler).also { transport = it } },
+            transport = { scope, handler, events -> SimulatedTransport(network, name, scope, handler, events).also { transport = it } },
         )
         current = Incarnation(vm, dispatcher, transport)
         vm.scope.launch { vm.start() }
--- a/src/test/kotlin/dandelionpoint/transport/peer/PeerNetworkTest.kt
+++ b/src/test/kotlin/dandelionpoint/transport/peer/PeerNetworkTest.kt
@@ -14,7 +14,10 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
+import java.net.InetAddress
+import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -35,10 +38,11 @@
     name: String,
     cluster: String = "test",
     dispatcher: CoroutineDispatcher = Dispatchers.IO,
+    events: PeerEvents = NoEvents,
     handler: PeerHandler,
 ): Node {
     val scope = CoroutineScope(SupervisorJob() + dispatcher)
-    val network = PeerNetwork(scope, cluster, handler, NoEvents)
+    val network = PeerNetwork(scope, cluster, handler, events)
     val port = network.bind("127.0.0.1", 0)
     val vm = VmIdentity(name, "incarnation-$name", "region", "dc", "127.0.0.1", port)
     network.start(vm)
@@ -57,6 +61,27 @@
  */
 class PeerNetworkTest :
     DescribeSpec({
+        // Its cells would stay without an owner until its claims are stale.
+        describe("a peer whose process has ended") {
+            it("is reported, since its port refuses connections; one that does not answer is not") {
+                val refused = CopyOnWriteArrayList<PeerAddress>()
+                val events = object : PeerEvents by NoEvents {
+                    override fun refused(address: PeerAddress) {
+                        refused += address
+                    }
+                }
+                val silent = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
+                val ended = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { PeerAddress("127.0.0.1", it.localPort) }
+                val node = node("a", events = events) { _, _ -> null }
+                node.network.connect(PeerAddress("127.0.0.1", silent.localPort))
+                node.network.connect(ended)
+                eventually(5.seconds) { refused.toSet() shouldBe setOf(ended) }
+                continually(MESSAGES_ARRIVE_MS.milliseconds) { refused.toSet() shouldBe setOf(ended) }
+                node.stop()
+                silent.close()
+            }
+        }
+
         describe("two VMs") {
             it("call each other, and a call without a reply is reported as lost, not as not sent") {
                 val unresponsive =
