--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -140,6 +140,7 @@
         } catch (e: CancellationException) {
             if (!scope.isActive) throw e
         } catch (e: ConnectException) {
+            logConnectionEnd("outbound to ${address.host}:${address.port}", e)
             events.refused(address)
         } catch (e: Exception) {
             logConnectionEnd("outbound to ${address.host}:${address.port}", e)
