--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -4,6 +4,7 @@
  */
 package dandelionpoint.fleet
 
+import dandelionpoint.coordination.fleet.AttemptKey
 import dandelionpoint.coordination.fleet.Candidate
 import dandelionpoint.coordination.fleet.CellOwner
 import dandelionpoint.coordination.fleet.CellPlan
@@ -52,7 +53,7 @@
 private val log = KotlinLogging.logger {}
 
 /** Creates the connections of a VM to its peers, which run in the scope and pass the peers' messages to the handler. */
-internal typealias PeerTransportFactory = (CoroutineScope, PeerHandler) -> PeerTransport
+internal typealias PeerTransportFactory = (CoroutineScope, PeerHandler, PeerEvents) -> PeerTransport
 
 /** One entry VM. Its loops run in [context]. Times are in ms. */
 internal class FleetVm(
@@ -63,11 +64,11 @@
     private val incarnation: String = UUID.randomUUID().toString(),
     context: CoroutineContext = Dispatchers.Default,
     random: Random = Random.Default,
-    transport: PeerTransportFactory = { scope, handler -> PeerNetwork(scope, CLUSTER, handler, NoPeerEvents) },
+    transport: PeerTransportFactory = { scope, handler, events -> PeerNetwork(scope, CLUSTER, handler, events) },
 ) : FleetJobService {
     /** Scope of all loops of this VM; [close] cancels it. */
     val scope = CoroutineScope(context + SupervisorJob(context[Job]))
-    private val network: PeerTransport = transport(scope) { from, message -> peerRequests.handle(from, message) }
+    private val network: PeerTransport = transport(scope, { from, message -> peerRequests.handle(from, message) }, Connections())
     private val peers = PeerState(::unresponsiveMs, RemoteCapacity(settings.dataCentre, random))
     private val tables = FleetTables(ports, Tables(), clock, rules)
     private val cells = OwnedCells(scope, ports.workers, Runs(), { tables.workers() }, clock, rules, ::heardAt)
@@ -94,10 +95,19 @@
     override var isStopping = false
         private set
 
-    private object NoPeerEvents : PeerEvents {
+    private inner class Connections : PeerEvents {
         override fun connected(vm: VmIdentity) = Unit
 
         override fun disconnected(vm: VmIdentity) = Unit
+
+        /** The process has ended, so that its cells need not stay without an owner until its claims are stale. */
+        override fun refused(address: PeerAddress) {
+            val ended = peers.liveness.live().map { it.vm }.firstOrNull { it.host == address.host && it.port == address.port } ?: return
+            log.info { "event=peer_ended peer=${ended.name} incarnation=${ended.incarnation}" }
+            claims.ownerEnded(ended, peers.directory.cellsOf(ended))
+            peers.liveness.remove(ended)
+            peerLost(ended)
+        }
     }
 
     /** Binds the peer port and starts all loops. Throws IOException if the port is in use. */
@@ -214,7 +224,7 @@
     }
 
     private inner class OwnView : CellView {
-        override fun ownToken(cell: String): Long? = cells.token(cell)
+        override fun ownToken(cell: String): Long? = cells.token(cell)?.takeIf { claims.isProven(cell) }
 
         override fun successor(cell: String): VmIdentity? {
             val name = plan.owner(cell)?.name
@@ -298,6 +308,8 @@
                 configVersion = tables.configurationVersion,
                 waitingJobs = dispatch.waitingJobs(),
                 relayed = if (isSameDataCentre) emptyMap() else relayed(now),
+                cancelledJobs = forwarder.unconfirmedCancellations(),
+                cancelledRuns = runner.unconfirmedStops(),
             )
         }
 
@@ -313,11 +325,20 @@
     }
 
     private fun onHeartbeat(from: VmIdentity, heartbeat: FleetHeartbeat) {
+        applyCancellations(from, heartbeat)
         peers.onHeartbeat(from, heartbeat, clock.millis())
         runner.wake()
         if (heartbeat.configVersion > tables.configurationVersion) scope.launch { pullConfiguration(from) }
     }
 
+    /** Applied before the heartbeat counts as a sign of life, so that it extends no lease of a run that it cancels. */
+    private fun applyCancellations(from: VmIdentity, heartbeat: FleetHeartbeat) {
+        heartbeat.cancelledJobs.map { AttemptKey(from.incarnation, it.jobId, it.attempt) }.filter { runner.has(it) }.forEach {
+            runner.cancel(it)
+        }
+        heartbeat.cancelledRuns.forEach { remoteRuns.stop(RunKey(from.incarnation, it.dispatch, it.run)) }
+    }
+
     private fun configurationMessage(): PeerMessage? = tables.configuration?.let { PeerMessage.ConfigChanges(it.version, it.document) }
 
     private suspend fun pullConfiguration(from: VmIdentity) {
@@ -344,6 +365,7 @@
             log.warn { "event=stood_still pause_ms=${pause.maxMs}" }
             peers.liveness.onProcessPause(pause.monotonicMs, clock.millis())
             if (!isLost) return
+            claims.onProcessPause()
             runner.onProcessPause(pause.maxMs)
             // A longer pause has outlasted their leases, and after a step of the wall clock, which looks like one, they are still wanted.
             if (pause.maxMs - TICK_MS <= rules.longestLeaseMs) cells.stopRunsOfOthers(incarnation)
--- a/src/test/kotlin/dandelionpoint/fleet/CellClaimsTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/CellClaimsTest.kt
@@ -67,6 +67,12 @@
 
         override fun offer(cell: String, successor: VmIdentity) = vms.getValue(successor.name).claims.handover(cell, self)
 
+        fun ownerEnded(vm: ClaimingVm) = claims.ownerEnded(vm.self, vm.owned.keys)
+
+        fun onProcessPause() = claims.onProcessPause()
+
+        fun isProven(cell: String) = claims.isProven(cell)
+
         suspend fun step() {
             val candidates = vms.values.filter { !it.isStopping }.map { Candidate(it.self.name, DATA_CENTRE, it.self.cpuMilli) }.toSet()
             plan.update(DATA_CENTRE, candidates, WORKERS, clock.millis())
@@ -115,6 +121,32 @@
                 }
             }
 
+            it("take over the cells of a VM whose process has ended, before its claims are stale") {
+                withVms {
+                    val first = start("vm-1")
+                    runFor(1_500)
+                    val second = start("vm-2")
+                    runFor(STEP_MS)
+                    vms.remove("vm-1")
+                    second.ownerEnded(first)
+                    runFor(2 * STEP_MS)
+                    second.owned.keys shouldBe CELLS
+                }
+            }
+
+            // What is in progress at such a VM is known to it alone, and another VM may have its cells by now.
+            it("do not count a claim as theirs after a long pause until the store has shown it") {
+                withVms {
+                    val vm = start("vm-1")
+                    runFor(1_500)
+                    vm.isProven(CELLS.first()) shouldBe true
+                    vm.onProcessPause()
+                    vm.isProven(CELLS.first()) shouldBe false
+                    runFor(STEP_MS)
+                    vm.isProven(CELLS.first()) shouldBe true
+                }
+            }
+
             it("take over the cells of a VM that stops, at once") {
                 withVms {
                     val first = start("vm-1")
