Start an entry VM without the option parser

Cause: picocli's classes have the format of Java 5, which a class data sharing archive cannot hold ("Pre JDK 6 class not supported by CDS").

Change: `fleet` with at most a settings file, as a platform starts it, runs the command directly. With options, files of arguments or more arguments it is parsed as before.

Tests: RootCommandTest.

--- a/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
@@ -30,14 +30,14 @@
 
 /** Runs an entry VM that dispatches to leased workers on the users' platform, until SIGTERM or SIGINT, which start a planned stop. */
 @Command(
-    name = "fleet",
+    name = FleetCommand.NAME,
     description = ["Runs an entry VM that dispatches to leased workers."],
     mixinStandardHelpOptions = true,
     footer = ["", "Example: dandelionpoint fleet settings.json", "Without FILE, the variable DANDELIONPOINT_SETTINGS names it."],
 )
-internal class FleetCommand : Callable<Int> {
+internal class FleetCommand(initialFile: Path? = null) : Callable<Int> {
     @Parameters(paramLabel = "FILE", description = ["Settings, JSON with comments."], arity = "0..1")
-    private var file: Path? = null
+    private var file: Path? = initialFile
 
     override fun call(): Int {
         val path = file ?: System.getenv(SETTINGS_VARIABLE)?.let { Path.of(it) }
@@ -56,7 +56,7 @@
     }
 
     private fun serve(path: Path, settings: FleetSettings): Int = try {
-        val vm = FleetVm(settings, platformPorts(settings.store.toString()), context = singleThread())
+        val vm = FleetVm(settings, platformPorts(settings.store.toString()), context = singleThreadDispatcher())
         val clients = PlatformClients(vm, vm.scope, settings.clients.listen(), settings.readiness?.listen())
         runBlocking { vm.start() }
         clients.start()
@@ -78,13 +78,6 @@
         ExitCode.REFUSED
     }
 
-    /**
-     * Dispatcher of all loops of the VM: one thread, which also runs their timers. A VM has at most a few processor cores, and handing work
-     * from thread to thread would cost it more than the work itself. Blocking calls run on threads of their own.
-     */
-    private fun singleThread(): CoroutineDispatcher =
-        Executors.newSingleThreadScheduledExecutor { task -> Thread(task, "fleet").apply { isDaemon = true } }.asCoroutineDispatcher()
-
     /** Reloads the settings after SIGHUP and whenever the file's modification time has changed. */
     private suspend fun watchSettings(path: Path, vm: FleetVm, isReloadRequested: AtomicBoolean) {
         var lastModified = modifiedAt(path)
@@ -120,12 +113,20 @@
         Runtime.getRuntime().addShutdownHook(hook)
     }
 
-    private companion object {
-        const val SETTINGS_VARIABLE = "DANDELIONPOINT_SETTINGS"
-        const val CLIENT_POLL_INTERVAL_MS = 100L
-        const val SETTINGS_POLL_INTERVAL_MS = 1_000L
+    companion object {
+        const val NAME = "fleet"
+        private const val SETTINGS_VARIABLE = "DANDELIONPOINT_SETTINGS"
+        private const val CLIENT_POLL_INTERVAL_MS = 100L
+        private const val SETTINGS_POLL_INTERVAL_MS = 1_000L
 
         /** How long a planned stop waits for requests that arrive while it ends, in ms. */
-        const val FINISH_TIMEOUT_MS = 400L
+        private const val FINISH_TIMEOUT_MS = 400L
     }
 }
+
+/**
+ * Dispatcher of all loops of a VM: one thread, which also runs their timers. A VM has at most a few processor cores, and handing work from
+ * thread to thread would cost it more than the work itself. Blocking calls run on threads of their own.
+ */
+internal fun singleThreadDispatcher(): CoroutineDispatcher =
+    Executors.newSingleThreadScheduledExecutor { task -> Thread(task, "fleet").apply { isDaemon = true } }.asCoroutineDispatcher()
--- a/src/test/kotlin/dandelionpoint/cli/RootCommandTest.kt
+++ b/src/test/kotlin/dandelionpoint/cli/RootCommandTest.kt
@@ -2,6 +2,8 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainAll
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import picocli.CommandLine
 
@@ -26,5 +28,26 @@
             it("has only the subcommand that is named if that runs a process") {
                 commandLine("fleet").subcommands.keys shouldBe setOf("fleet")
             }
+
+            it("is not needed to start an entry VM with at most a settings file, but for options, files of arguments and other commands") {
+                listOf(arrayOf("fleet"), arrayOf("fleet", "settings.json")).forEach { plainFleetCommand(it).shouldNotBeNull() }
+                listOf(
+                    "",
+                    "fleet --help",
+                    "fleet @arguments",
+                    "fleet a.json b.json",
+                    "fleet-demo",
+                    "entry a.json",
+                    "--help fleet",
+                ).forEach {
+                    plainFleetCommand(it.split(' ').toTypedArray()).shouldBeNull()
+                }
+                plainFleetCommand(emptyArray()).shouldBeNull()
+            }
+
+            it("reports the same usage error for a settings file that does not exist, with and without the option parser") {
+                plainFleetCommand(arrayOf("fleet", "missing.json"))?.call() shouldBe ExitCode.USAGE
+                commandLine("fleet").execute("fleet", "missing.json") shouldBe ExitCode.USAGE
+            }
         }
     })
