Let the demo read settings and run its VMs as the command fleet does

Cause: the class data sharing archive is made from a run of the demo, which built its settings in code and ran its VMs on the default dispatcher. The classes that read settings and those of the single-threaded dispatcher were therefore read from the jar at each start.

Change: the demo reads its settings from text and runs its VMs on singleThreadDispatcher.

--- a/src/main/kotlin/dandelionpoint/cli/FleetDemoCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/FleetDemoCommand.kt
@@ -1,5 +1,6 @@
 package dandelionpoint.cli
 
+import arrow.core.getOrElse
 import dandelionpoint.fleet.FleetVm
 import dandelionpoint.platform.ListenAddress
 import dandelionpoint.platform.PlatformClients
@@ -8,6 +9,8 @@
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.fleet.FleetJob
 import dandelionpoint.protocol.fleet.JobStep
+import dandelionpoint.settings.FleetSettings
+import dandelionpoint.settings.SettingsReader
 import dandelionpoint.standin.fleet.InProcessFleet
 import dandelionpoint.transport.http.CallThreads
 import dandelionpoint.transport.http.HttpChannel
@@ -37,7 +40,7 @@
 
     override fun call(): Int = runBlocking {
         val fleet = InProcessFleet()
-        val vms = listOf(fleet.vm("demo-1", "akl-a"), fleet.vm("demo-2", "ham-a"))
+        val vms = listOf("akl-a", "ham-a").map { fleet.vm(settings(it), context = singleThreadDispatcher()) }
         vms.forEach { it.start() }
         val clients = vms.map { PlatformClients(it, it.scope, ListenAddress(InProcessFleet.LOOPBACK, 0), readiness = null) }
         val ports = clients.map { it.start() }
@@ -51,6 +54,16 @@
         if (statuses.all { it == OK }) ExitCode.OK else ExitCode.REFUSED
     }
 
+    /** Reads settings as the command `fleet` does. */
+    private fun settings(dataCentre: String): FleetSettings {
+        val text = """
+            // Any free ports of the loopback address.
+            {"name": "demo-$dataCentre", "region": "demo", "dataCentre": "$dataCentre", "cpuShare": 0.75,
+             "clients": "$ANY_PORT", "readiness": "", "peers": "$ANY_PORT", "seedPeers": "", "store": "$NO_STORE"}
+        """
+        return SettingsReader.readFleet("demo", text).getOrElse { faults -> error(faults.joinToString()) }
+    }
+
     private suspend fun awaitReady(vms: List<FleetVm>) = withTimeoutOrNull(READY_TIMEOUT_MS) {
         while (!vms.all { vm -> vm.isReady && vm.ownedCells().isNotEmpty() }) delay(POLL_INTERVAL_MS)
     }
@@ -69,10 +82,12 @@
 
     /** Calls a store that does not exist, as a VM does that starts during an outage of the store. */
     private suspend fun callUnreachableStore() {
-        platformPorts("${InProcessFleet.LOOPBACK}:1").store.read("cells")
+        platformPorts(NO_STORE).store.read("cells")
     }
 
     private companion object {
+        const val ANY_PORT = "${InProcessFleet.LOOPBACK}:0"
+        const val NO_STORE = "${InProcessFleet.LOOPBACK}:1"
         const val JOBS = 12
         const val TASKS = 4
         const val OK = 200
--- a/src/main/kotlin/dandelionpoint/standin/fleet/InProcessFleet.kt
+++ b/src/main/kotlin/dandelionpoint/standin/fleet/InProcessFleet.kt
@@ -13,6 +13,8 @@
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.settings.FleetSettings
 import dandelionpoint.settings.HostAndPort
+import kotlinx.coroutines.Dispatchers
+import kotlin.coroutines.CoroutineContext
 
 /** A small fleet with [workersPerDataCentre] workers in each of [dataCentres]. [workers] and [store] are the stand-ins. */
 internal class InProcessFleet(
@@ -63,9 +65,13 @@
             seedPeers = emptyList(),
             store = HostAndPort(LOOPBACK, 1),
         )
-        return FleetVm(settings, FleetPorts(store, tables, documents, workers, canConnect = { true }), clock)
+        return vm(settings, clock)
     }
 
+    /** Creates an entry VM with [settings], whose loops run in [context], without starting it. [clock] is that of the VM alone. */
+    fun vm(settings: FleetSettings, clock: Clock = Clock.System, context: CoroutineContext = Dispatchers.Default): FleetVm =
+        FleetVm(settings, FleetPorts(store, tables, documents, workers, canConnect = { true }), clock, context = context)
+
     /** Writes a row that marks the worker [id] as draining. */
     fun drainWorker(id: String) = store.put(tables.workers, id, DRAINING.encodeToByteArray())
 
