Run the loops of a VM on an event loop instead of a scheduled executor

Cause: each coroutine that is resumed on the VM's thread went through ScheduledThreadPoolExecutor: a future, a heap insertion under a lock and a wake-up of a thread, though most hand-overs come from that thread itself.

Change: the thread `fleet` runs the event loop of runBlocking, which also holds the timers.

--- a/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import dandelionpoint.fleet.FleetVm
+import dandelionpoint.fleet.startEventLoopThread
 import dandelionpoint.platform.ListenAddress
 import dandelionpoint.platform.PlatformClients
 import dandelionpoint.platform.platformPorts
@@ -9,8 +10,6 @@
 import dandelionpoint.settings.HostAndPort
 import dandelionpoint.settings.SettingsReader
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.CoroutineDispatcher
-import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -23,7 +22,6 @@
 import java.nio.file.attribute.FileTime
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
-import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicBoolean
 
 private val log = KotlinLogging.logger {}
@@ -56,7 +54,9 @@
     }
 
     private fun serve(path: Path, settings: FleetSettings): Int = try {
-        val vm = FleetVm(settings, platformPorts(settings.store.toString()), context = singleThread())
+        // All loops of the VM run on one thread: a VM has at most a few processor cores, and handing work from thread to thread would
+        // cost it more than the work itself. Blocking calls run on threads of their own.
+        val vm = FleetVm(settings, platformPorts(settings.store.toString()), context = startEventLoopThread("fleet"))
         val clients = PlatformClients(vm, vm.scope, settings.clients.listen(), settings.readiness?.listen())
         runBlocking { vm.start() }
         clients.start()
@@ -78,13 +78,6 @@
         ExitCode.REFUSED
     }
 
-    /**
-     * Dispatcher of all loops of the VM: one thread, which also runs their timers. A VM has at most a few processor cores, and handing work
-     * from thread to thread would cost it more than the work itself. Blocking calls run on threads of their own.
-     */
-    private fun singleThread(): CoroutineDispatcher =
-        Executors.newSingleThreadScheduledExecutor { task -> Thread(task, "fleet").apply { isDaemon = true } }.asCoroutineDispatcher()
-
     /** Reloads the settings after SIGHUP and whenever the file's modification time has changed. */
     private suspend fun watchSettings(path: Path, vm: FleetVm, isReloadRequested: AtomicBoolean) {
         var lastModified = modifiedAt(path)
