--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cells.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cells.kt
@@ -5,6 +5,7 @@
 package dandelionpoint.coordination.fleet
 
 import dandelionpoint.protocol.fleet.WorkerEntry
+import java.util.concurrent.ConcurrentHashMap
 
 /** Names of cells: the data centre and the number of the part. */
 internal object Cells {
@@ -13,14 +14,21 @@
 
     private const val SEPARATOR = '/'
 
+    /** Limit of [names], since the names of data centres come from the workers' entries. */
+    private const val MAX_DATA_CENTRES = 256
+
+    /** The names of the cells by data centre. */
+    private val names = ConcurrentHashMap<String, List<String>>()
+
     /** All cells of [dataCentre], in the order of their names. */
-    fun of(dataCentre: String): List<String> = List(PARTS) { name(dataCentre, it) }
+    fun of(dataCentre: String): List<String> = names[dataCentre]
+        ?: List(PARTS) { name(dataCentre, it) }.also { if (names.size < MAX_DATA_CENTRES) names[dataCentre] = it }
 
     /** The cell of [worker]. */
-    fun ofWorker(worker: WorkerEntry): String = name(worker.dataCentre, part(worker.id))
+    fun ofWorker(worker: WorkerEntry): String = of(worker.dataCentre)[part(worker.id)]
 
     /** The cell whose owner dispatches the job [jobId] of a client in [dataCentre]. */
-    fun ofJob(dataCentre: String, jobId: String): String = name(dataCentre, part(jobId))
+    fun ofJob(dataCentre: String, jobId: String): String = of(dataCentre)[part(jobId)]
 
     fun dataCentreOf(cell: String): String = cell.substringBeforeLast(SEPARATOR)
 
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/PeerLiveness.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/PeerLiveness.kt
@@ -16,7 +16,7 @@
  */
 internal class PeerLiveness(private val unresponsiveMs: (VmIdentity) -> Long) {
     /** [countedAt] is [receivedAt] plus the pauses of this process since. */
-    private class LastHeartbeat(val vm: VmIdentity, var receivedAt: Long, var heartbeat: FleetHeartbeat) {
+    private class LastHeartbeat(val vm: VmIdentity, val unresponsiveMs: Long, var receivedAt: Long, var heartbeat: FleetHeartbeat) {
         var countedAt = receivedAt
     }
 
@@ -25,13 +25,19 @@
     /** The live peers by their incarnations. */
     private val peers = LinkedHashMap<String, LastHeartbeat>()
 
+    /** True if two peers may be incarnations of the same VM: a peer was added since [removeLost] has last looked for them. */
+    private var mayHaveReplaced = false
+
     /** Times of the last heartbeats of VMs that other VMs have reported, by the incarnations. */
     private val relayed = ExpiringMap<String, Long>()
 
     /** Records a heartbeat that was received at [now]. */
     fun onHeartbeat(vm: VmIdentity, heartbeat: FleetHeartbeat, now: Long) {
         synchronized(lock) {
-            val last = peers.getOrPut(vm.incarnation) { LastHeartbeat(vm, now, heartbeat) }
+            val last = peers.getOrPut(vm.incarnation) {
+                mayHaveReplaced = true
+                LastHeartbeat(vm, unresponsiveMs(vm), now, heartbeat)
+            }
             last.receivedAt = now
             last.countedAt = now
             last.heartbeat = heartbeat
@@ -58,11 +64,16 @@
 
     /** Removes and returns the peers that are lost: unresponsive, or replaced by a newer incarnation of the same VM. */
     fun removeLost(now: Long): List<VmIdentity> = synchronized(lock) {
+        val lost = peers.values.filter { now - it.countedAt > it.unresponsiveMs } + if (mayHaveReplaced) replaced() else emptyList()
+        mayHaveReplaced = false
+        lost.mapNotNull { peers.remove(it.vm.incarnation)?.vm }
+    }
+
+    /** The peers of which a newer incarnation is known. */
+    private fun replaced(): List<LastHeartbeat> {
         val newest = HashMap<String, LastHeartbeat>()
         peers.values.forEach { peer -> newest.merge(peer.vm.name, peer) { a, b -> if (b.countedAt > a.countedAt) b else a } }
-        val lost = peers.values.filter { now - it.countedAt > unresponsiveMs(it.vm) || newest[it.vm.name] !== it }.map { it.vm }
-        lost.forEach { peers.remove(it.incarnation) }
-        lost
+        return peers.values.filter { newest[it.vm.name] !== it }
     }
 
     /** Records that this VM's process was paused for [pauseMs], as counted by the monotonic clock, before [now]. */
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerList.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerList.kt
@@ -11,6 +11,9 @@
     private val lock = Any()
     private val entries = HashMap<String, WorkerEntry>()
     private val missingSince = HashMap<String, Long>()
+
+    /** The list that [current] has last returned, null if an entry has changed since. */
+    private var listed: List<WorkerEntry>? = null
     private var lastStoreAnswerAt: Long? = null
     private var storeAvailableSince = Long.MIN_VALUE / 2
 
@@ -26,7 +29,7 @@
     /** Adds or updates [entry]. */
     fun put(entry: WorkerEntry) {
         synchronized(lock) {
-            entries[entry.id] = entry
+            if (entries.put(entry.id, entry) != entry) listed = null
             missingSince.remove(entry.id)
         }
     }
@@ -43,14 +46,15 @@
         synchronized(lock) { entries.keys.filter { it !in present } }.forEach { onRemoved(it, now) }
     }
 
-    /** The workers listed at [now], including missing ones during the grace period. */
+    /** The workers listed at [now], including missing ones during the grace period. While nothing changes, it is the same list. */
     fun current(now: Long): List<WorkerEntry> = synchronized(lock) {
         val isGrace = now - storeAvailableSince < rules.expiredEntryGraceMs
-        if (!isGrace) {
+        if (!isGrace && missingSince.isNotEmpty()) {
             missingSince.keys.forEach { entries.remove(it) }
             missingSince.clear()
+            listed = null
         }
-        entries.values.toList()
+        listed ?: entries.values.toList().also { listed = it }
     }
 
     private companion object {
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -151,8 +151,7 @@
         val running = peers.liveness.live().filter { !it.heartbeat.isStopping }.mapTo(HashSet()) { it.vm.asCandidate() }
         if (!isStopping) running += self.asCandidate()
         claimableDataCentres().forEach { dataCentre ->
-            val workers = cells.workerCounts.filterKeys { Cells.dataCentreOf(it) == dataCentre }
-            plan.update(dataCentre, running, workers, clock.millis())
+            plan.update(dataCentre, running, cells.workerCounts[dataCentre].orEmpty(), clock.millis())
         }
     }
 
@@ -161,9 +160,8 @@
     /** This VM's data centre, those of its cells, and those that have workers but no live VM. */
     private fun claimableDataCentres(): Set<String> {
         val withVm = peers.liveness.live().mapTo(HashSet()) { it.vm.dataCentre }
-        val withWorkers = cells.workerCounts.keys.mapTo(HashSet()) { Cells.dataCentreOf(it) }
         val owned = cells.owned().mapTo(HashSet()) { Cells.dataCentreOf(it.cell.name) }
-        return (withWorkers - withVm) + owned + settings.dataCentre
+        return (cells.workerCounts.keys - withVm) + owned + settings.dataCentre
     }
 
     // Client requests
--- a/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
@@ -42,9 +42,13 @@
     private val handedOver = CopyOnWriteArrayList<CellController>()
     private val formerOwners = ConcurrentHashMap<String, VmIdentity>()
 
-    /** Number of workers of each cell that has any. */
+    /** The list of workers at the last [updateWorkers], and the same by cell. */
+    private var listed: List<WorkerEntry> = emptyList()
+    private var byCell: Map<String, List<WorkerEntry>> = emptyMap()
+
+    /** Number of workers of each cell that has any, by data centre. */
     @Volatile
-    var workerCounts: Map<String, Int> = emptyMap()
+    var workerCounts: Map<String, Map<String, Int>> = emptyMap()
         private set
 
     /** Controllers of the cells that this VM has claimed. */
@@ -117,8 +121,12 @@
     }
 
     fun updateWorkers() {
-        val byCell = workers().groupBy { Cells.ofWorker(it) }
-        workerCounts = byCell.mapValues { it.value.size }
+        val current = workers()
+        if (current !== listed) {
+            listed = current
+            byCell = current.groupBy { Cells.ofWorker(it) }
+            workerCounts = current.groupBy { it.dataCentre }.mapValues { (_, same) -> same.groupingBy { Cells.ofWorker(it) }.eachCount() }
+        }
         all().forEach { it.updateWorkers(byCell[it.cell.name].orEmpty()) }
     }
 
--- a/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
@@ -106,9 +106,13 @@
     return if (at < 0 || indexOfCounterName(bytes, at + 1) >= 0) null else at + COUNTER_MEMBER.size
 }
 
-private fun indexOfCounterName(bytes: ByteArray, from: Int): Int = (from..bytes.size - COUNTER_MEMBER.size).firstOrNull { start ->
-    bytes[start] == COUNTER_MEMBER[0] && COUNTER_MEMBER.indices.all { bytes[start + it] == COUNTER_MEMBER[it] }
-} ?: -1
+private fun indexOfCounterName(bytes: ByteArray, from: Int): Int {
+    val length = COUNTER_MEMBER.size
+    for (start in from..bytes.size - length) {
+        if (bytes[start] == COUNTER_MEMBER[0] && Arrays.equals(bytes, start, start + length, COUNTER_MEMBER, 0, length)) return start
+    }
+    return -1
+}
 
 private fun endOfDigits(bytes: ByteArray, from: Int): Int {
     var end = from
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/PeerLivenessTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/PeerLivenessTest.kt
@@ -32,6 +32,23 @@
             }
         }
 
+        describe("a VM that has restarted") {
+            // A heartbeat of the earlier incarnation may arrive after it was replaced.
+            it("counts under the incarnation that was heard last, each time the other one is heard again") {
+                val restarted = PEER.copy(incarnation = "incarnation-restarted")
+                val liveness = PeerLiveness { 700 }
+                liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 0)
+                liveness.removeLost(now = 1).shouldBeEmpty()
+                liveness.onHeartbeat(restarted, FleetHeartbeat(), now = 100)
+                liveness.removeLost(now = 101) shouldBe listOf(PEER)
+                liveness.onHeartbeat(restarted, FleetHeartbeat(), now = 200)
+                liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 150)
+                liveness.removeLost(now = 201) shouldBe listOf(PEER)
+                liveness.removeLost(now = 202).shouldBeEmpty()
+                liveness.isLive(restarted) shouldBe true
+            }
+        }
+
         describe("the time of the last heartbeat") {
             it("is unknown before the first heartbeat and after the loss of the VM") {
                 val liveness = PeerLiveness { 700 }
