Plan runs after a heartbeat only if a task waits

Cause: each heartbeat received started a scheduling pass over all jobs, also when no task waited for capacity. RemoteCapacity copied all free workers into one list for each task.

Change: Dispatch says whether a task was waiting at the end of the last pass, for capacity or for its delay; otherwise a heartbeat starts no pass. Deadlines are still checked with each tick. RemoteCapacity filters the workers VM by VM.

DispatchTest: a delayed task counts as waiting, so that it is placed with the next heartbeat as before.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -69,6 +69,11 @@
     private val stopping = StoppingRuns()
     private var lastDispatch = 0L
 
+    /** True if a task was waiting, for capacity or for another reason, at the end of the last scheduling pass. */
+    @Volatile
+    var hasWaitingTasks = false
+        private set
+
     /** Answers to the latest attempts, for offers that arrive again, or only after their cancellation. */
     private val answers = ExpiringMap<AttemptKey, JobOutcome>()
 
@@ -130,6 +135,7 @@
             }
             if (unplacedJobs >= MAX_UNPLACED_JOBS) break
         }
+        hasWaitingTasks = jobs.values.any { it.hasWaitingTasks }
         return events
     }
 
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
@@ -67,6 +67,8 @@
 
     val isDone: Boolean get() = tasks.all { step -> step.all { it.isDone } }
 
+    val hasWaitingTasks: Boolean get() = tasks.any { step -> step.any { it.isWaiting } }
+
     fun task(ref: TaskRef): DispatchedTask? = tasks.getOrNull(ref.step)?.getOrNull(ref.index)
 
     /** Tasks that can be placed at [now]: the steps that they depend on are done, and they are not done, in progress or delayed. */
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -312,7 +312,7 @@
 
     private fun onHeartbeat(from: VmIdentity, heartbeat: FleetHeartbeat) {
         peers.onHeartbeat(from, heartbeat, clock.millis())
-        runner.wake()
+        runner.onRemoteCapacity()
         if (heartbeat.configVersion > tables.configurationVersion) scope.launch { pullConfiguration(from) }
     }
 
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -199,6 +199,11 @@
     /** Ends all jobs, because this process was paused for so long that its peers have declared the VM lost. */
     fun onProcessPause(pauseMs: Long) = handle(dispatch.cancelAll("the VM process was paused for $pauseMs ms", clock.millis()))
 
+    /** The free capacity of another VM is known anew: makes the loop try to place waiting tasks. */
+    fun onRemoteCapacity() {
+        if (dispatch.hasWaitingTasks) wake()
+    }
+
     /** Makes the loop check deadlines and waiting tasks, if there are jobs. */
     fun tick() {
         if (dispatch.size() > 0) wake()
--- a/src/main/kotlin/dandelionpoint/fleet/RemoteCapacity.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/RemoteCapacity.kt
@@ -46,7 +46,7 @@
      * the fastest one is taken, so that the VMs, which all know the same free capacity, do not all choose the same worker.
      */
     fun reserve(order: RunOrder): Pair<VmIdentity, RunLocation.Remote>? = synchronized(lock) {
-        val fitting = workers.values.flatten().filter { it.pool == order.pool && it.free.covers(order.demand) }
+        val fitting = workers.values.flatMap { free -> free.filter { it.pool == order.pool && it.free.covers(order.demand) } }
         if (fitting.isEmpty()) return@synchronized null
         val near = fitting.filter { it.vm.dataCentre == dataCentre }.ifEmpty { fitting }
         val worker = List(CHOICES) { near.random(random) }.maxBy { it.speed }
@@ -59,7 +59,7 @@
      * least an equal share of all.
      */
     fun cores(pool: String, hasOwnCell: Boolean): Double = synchronized(lock) {
-        val free = workers.values.flatten().filter { it.pool == pool }.sumOf { it.free.cpuMilli.toLong() } / MILLI
+        val free = workers.values.sumOf { of -> of.sumOf { if (it.pool == pool) it.free.cpuMilli.toLong() else 0L } } / MILLI
         val share = if (hasOwnCell) 0.0 else cores.values.sumOf { (it[pool] ?: 0).toLong() }.toDouble() / (cores.size + 1)
         maxOf(free, share)
     }
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/DispatchTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/DispatchTest.kt
@@ -56,6 +56,23 @@
                 placer.placed.map { it.task.step } shouldBe listOf(0, 1)
             }
 
+            // A waiting task would not be placed when another VM reports free capacity.
+            it("has waiting tasks while one of them has no run, whatever the reason") {
+                val dispatch = Dispatch(ORIGIN)
+                val placer = FakePlacer(1)
+                dispatch.submit(submission(job("a", tasks = 2)), CORES, 0, placer)
+                dispatch.hasWaitingTasks shouldBe true
+                placer.free = 1
+                dispatch.schedule(1, placer)
+                dispatch.hasWaitingTasks shouldBe false
+                dispatch.onRunEnd(placer.placed[0].key, RunEnd.NOT_STARTED, "", 10)
+                placer.free = 1
+                dispatch.schedule(10, placer)
+                dispatch.hasWaitingTasks shouldBe true
+                dispatch.schedule(15, placer)
+                dispatch.hasWaitingTasks shouldBe false
+            }
+
             it("fails after the permitted number of failed runs, and lost runs do not count") {
                 val dispatch = Dispatch(ORIGIN)
                 val placer = FakePlacer(3)
