--- a/src/main/kotlin/dandelionpoint/cli/FleetDemoCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/FleetDemoCommand.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.getOrElse
 import dandelionpoint.fleet.FleetVm
+import dandelionpoint.fleet.startEventLoopThread
 import dandelionpoint.platform.ListenAddress
 import dandelionpoint.platform.PlatformClients
 import dandelionpoint.platform.encodeJob
@@ -40,7 +41,7 @@
 
     override fun call(): Int = runBlocking {
         val fleet = InProcessFleet()
-        val vms = listOf("akl-a", "ham-a").map { fleet.vm(settings(it), context = singleThreadDispatcher()) }
+        val vms = listOf("akl-a", "ham-a").map { fleet.vm(settings(it), context = startEventLoopThread("fleet")) }
         vms.forEach { it.start() }
         val clients = vms.map { PlatformClients(it, it.scope, ListenAddress(InProcessFleet.LOOPBACK, 0), readiness = null) }
         val ports = clients.map { it.start() }
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -161,8 +161,7 @@
         val running = peers.liveness.live().filter { !it.heartbeat.isStopping }.mapTo(HashSet()) { it.vm.asCandidate() }
         if (!isStopping) running += self.asCandidate()
         claimableDataCentres().forEach { dataCentre ->
-            val workers = cells.workerCounts.filterKeys { Cells.dataCentreOf(it) == dataCentre }
-            plan.update(dataCentre, running, workers, clock.millis())
+            plan.update(dataCentre, running, cells.workerCounts[dataCentre].orEmpty(), clock.millis())
         }
     }
 
@@ -171,9 +170,8 @@
     /** This VM's data centre, those of its cells, and those that have workers but no live VM. */
     private fun claimableDataCentres(): Set<String> {
         val withVm = peers.liveness.live().mapTo(HashSet()) { it.vm.dataCentre }
-        val withWorkers = cells.workerCounts.keys.mapTo(HashSet()) { Cells.dataCentreOf(it) }
         val owned = cells.owned().mapTo(HashSet()) { Cells.dataCentreOf(it.cell.name) }
-        return (withWorkers - withVm) + owned + settings.dataCentre
+        return (cells.workerCounts.keys - withVm) + owned + settings.dataCentre
     }
 
     // Client requests
@@ -327,7 +325,7 @@
     private fun onHeartbeat(from: VmIdentity, heartbeat: FleetHeartbeat) {
         applyCancellations(from, heartbeat)
         peers.onHeartbeat(from, heartbeat, clock.millis())
-        runner.wake()
+        runner.onRemoteCapacity()
         if (heartbeat.configVersion > tables.configurationVersion) scope.launch { pullConfiguration(from) }
     }
 
