Do less work for each call to a worker

Cause: each call parsed its URL, built its request twice, built and read its bodies as JSON trees, and went through OkHttp's queue of calls, which renames a thread for each call (with a URL built for the name) and searches the calls in flight. An entry VM makes some hundred such calls a second, and most of its life this code runs interpreted.

Change: a worker's URLs are built once. Bodies are written as text. The call's tag is set in the request's builder. A call goes straight to a thread of the pool; CallThreads counts and queues the calls itself. A body of known length is read in one go. RunListReader reads the usual form of a run list from its bytes and leaves any other form to the reader of JSON trees, which is unchanged. The wire is unchanged but for the order of the members of a lease call.

Tests: PlatformBodiesTest (the reader of usual run lists agrees with the other one on 6,000 changed documents), CallThreadsTest (new), PlatformWorkersTest, OddDocumentsTest, PlatformClientsTest, HttpWorkerClientTest, WriteGateTest, CellControllerTest, CellTest, WorkerLeaseTest pass.

--- a/src/main/kotlin/dandelionpoint/cli/FleetDemoCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/FleetDemoCommand.kt
@@ -63,7 +63,6 @@
             .header("Host", InProcessFleet.HOST)
             .header("Deadline-Remaining-Ms", "3000")
             .post(OneShotBody(encodeJob(job), "application/json".toMediaType()))
-            .build()
         return (channel.send(request, REQUEST_TIMEOUT_MS) as? HttpOutcome.Answer)?.status ?: 0
     }
 
--- a/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformBodies.kt
@@ -263,7 +263,10 @@
  * Decodes a worker's run list; null if it is not a JSON object with a clock, or the clock or the start time is out of range. Rows that
  * cannot be read are left out.
  */
-internal fun decodeRunList(bytes: ByteArray): LeaseReport? {
+internal fun decodeRunList(bytes: ByteArray): LeaseReport? = RunListReader(bytes).read() ?: decodeAnyRunList(bytes)
+
+/** Decodes a run list in any form of JSON. */
+internal fun decodeAnyRunList(bytes: ByteArray): LeaseReport? {
     val body = parseObject(bytes) ?: return null
     val running = body.array("running").mapNotNull { runningRow(it as? JsonArray) }
     val ended = body.array("ended").mapNotNull { endedRow(it as? JsonArray) }
@@ -279,14 +282,17 @@
 /** A row is [number, task, run, how it ended, saved state]. */
 private fun endedRow(row: JsonArray?): EndedRow? {
     val run = row?.run(taskAt = 1) ?: return null
-    val end = when (row.getOrNull(3)?.asText()) {
-        "done" -> RunEnd.DONE
-        "failed" -> RunEnd.FAILED
-        else -> RunEnd.LOST
-    }
+    val end = runEnd(row.getOrNull(3)?.asText())
     return EndedRow(row.getOrNull(0)?.asLong()?.takeIf { it > 0 } ?: return null, run, end)
 }
 
+/** The platform's word for how a run ended. */
+internal fun runEnd(word: String?): RunEnd = when (word) {
+    "done" -> RunEnd.DONE
+    "failed" -> RunEnd.FAILED
+    else -> RunEnd.LOST
+}
+
 private fun JsonArray.run(taskAt: Int): TaskRun? {
     val task = getOrNull(taskAt)?.asText()?.let { decodeTask(it) } ?: return null
     val run = getOrNull(taskAt + 1)?.asLong()?.takeIf { it in 1..Int.MAX_VALUE } ?: return null
--- a/src/main/kotlin/dandelionpoint/platform/PlatformRows.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformRows.kt
@@ -32,6 +32,7 @@
 /** Client of the store at [address] (host:port). A call may take [timeoutMs] ms plus the time that the store is asked to wait. */
 internal class PlatformRows(address: String, threads: CallThreads, private val timeoutMs: Long = 1_500) : SharedRows {
     private val base = "http://$address".toHttpUrl()
+    private val writeUrl = base.newBuilder().addPathSegments("v1/rows-tx").build()
     private val channel = HttpChannel(HttpChannelSettings(connectTimeoutMs = 400, keepAliveMs = 30_000, isCleartext = true), threads)
 
     override suspend fun read(table: String, from: String, to: String): Either<StoreError, RowsRead> {
@@ -93,9 +94,7 @@
             put("puts", JsonArray(puts))
             put("remove", JsonArray(removals))
         }
-        val request = Request.Builder().url(
-            base.newBuilder().addPathSegments("v1/rows-tx").build(),
-        ).post(OneShotBody(body.toString().encodeToByteArray(), JSON_TYPE)).build()
+        val request = Request.Builder().url(writeUrl).post(OneShotBody(body.toString().encodeToByteArray(), JSON_TYPE))
         return when (val outcome = channel.send(request, timeoutMs)) {
             is HttpOutcome.NotWritten -> StoreError.NotApplied(outcome.reason).left()
 
@@ -129,7 +128,7 @@
 
     private suspend fun get(path: String, timeoutMs: Long, query: HttpUrl.Builder.() -> Unit): Either<ReadFailure, JsonObject> {
         val url = base.newBuilder().addPathSegments(path).apply(query).build()
-        return when (val outcome = channel.send(Request.Builder().url(url).build(), timeoutMs)) {
+        return when (val outcome = channel.send(Request.Builder().url(url), timeoutMs)) {
             is HttpOutcome.NotWritten -> ReadFailure(StoreError.NotApplied(outcome.reason)).left()
 
             is HttpOutcome.Lost -> ReadFailure(StoreError.NotApplied(outcome.reason)).left()
--- a/src/main/kotlin/dandelionpoint/platform/PlatformWorkers.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformWorkers.kt
@@ -17,41 +17,29 @@
 import dandelionpoint.transport.http.HttpChannelSettings
 import dandelionpoint.transport.http.HttpOutcome
 import dandelionpoint.transport.http.OneShotBody
-import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.put
+import okhttp3.HttpUrl
+import okhttp3.HttpUrl.Companion.toHttpUrlOrNull
 import okhttp3.Request
 import java.util.concurrent.ConcurrentHashMap
 
 /** Sends calls to workers, over a few persistent connections to each. */
 internal class PlatformWorkers(private val threads: CallThreads) : WorkerPort {
-    private val channels = ConcurrentHashMap<String, HttpChannel>()
-
-    override suspend fun start(worker: WorkerEntry, order: StartOrder, timeoutMs: Long): StartOutcome {
-        val body = buildJsonObject {
-            put("task", order.run.task.wireName())
-            put("run", order.run.run)
-            put("spec", order.payload)
-            put("deadline_ms", order.leaseUntilMs)
-            put("fencing_token", order.token)
-        }
-        return when (val outcome = post(worker, "run-start", body, timeoutMs)) {
+    private val targets = ConcurrentHashMap<String, Target>()
+
+    override suspend fun start(worker: WorkerEntry, order: StartOrder, timeoutMs: Long): StartOutcome =
+        when (val outcome = post(worker, WorkerCall.START, encodeStart(order), timeoutMs)) {
             is HttpOutcome.NotWritten -> StartOutcome.NotSent(outcome.reason)
             is HttpOutcome.Lost -> StartOutcome.Unknown(outcome.reason)
             is HttpOutcome.Answer -> startOutcome(outcome)
         }
-    }
 
-    private fun startOutcome(answer: HttpOutcome.Answer): StartOutcome {
-        val body = parseObject(answer.body)
-        return when (answer.status) {
-            OK -> body?.clockMs()?.let { StartOutcome.Started(it) } ?: StartOutcome.Unknown("the answer cannot be read")
-            CONFLICT -> StartOutcome.Refused(refusal(body?.text("reason")))
-            OTHER_INCARNATION -> StartOutcome.Refused(StartRefusal.OTHER_INCARNATION)
-            TOO_MANY_REQUESTS, UNAVAILABLE -> StartOutcome.Refused(StartRefusal.UNHEALTHY)
-            BAD_REQUEST -> StartOutcome.Refused(StartRefusal.INVALID)
-            else -> StartOutcome.Unknown("status ${answer.status}")
-        }
+    private fun startOutcome(answer: HttpOutcome.Answer): StartOutcome = when (answer.status) {
+        OK -> decodeClock(answer.body)?.let { StartOutcome.Started(it) } ?: StartOutcome.Unknown("the answer cannot be read")
+        CONFLICT -> StartOutcome.Refused(refusal(parseObject(answer.body)?.text("reason")))
+        OTHER_INCARNATION -> StartOutcome.Refused(StartRefusal.OTHER_INCARNATION)
+        TOO_MANY_REQUESTS, UNAVAILABLE -> StartOutcome.Refused(StartRefusal.UNHEALTHY)
+        BAD_REQUEST -> StartOutcome.Refused(StartRefusal.INVALID)
+        else -> StartOutcome.Unknown("status ${answer.status}")
     }
 
     private fun refusal(reason: String?): StartRefusal = when (reason) {
@@ -63,28 +51,16 @@
     }
 
     override suspend fun stop(worker: WorkerEntry, run: TaskRun, token: Long, timeoutMs: Long): Boolean {
-        val body = buildJsonObject {
-            put("task", run.task.wireName())
-            put("run", run.run)
-            put("fencing_token", token)
-        }
-        val outcome = post(worker, "run-stop", body, timeoutMs)
+        val outcome = post(worker, WorkerCall.STOP, encodeStop(run, token), timeoutMs)
         return outcome is HttpOutcome.Answer && outcome.status == OK
     }
 
-    override suspend fun lease(worker: WorkerEntry, call: LeaseCall, timeoutMs: Long): LeaseOutcome {
-        val body = buildJsonObject {
-            call.leaseUntilMs?.let { put("deadline_ms", it) }
-            put("fencing_token", call.token)
-            put("last_seen", call.seenEnd)
-            if (call.waitMs > 0) put("wait_ms", call.waitMs)
-        }
-        return when (val outcome = post(worker, "hold", body, timeoutMs)) {
+    override suspend fun lease(worker: WorkerEntry, call: LeaseCall, timeoutMs: Long): LeaseOutcome =
+        when (val outcome = post(worker, WorkerCall.LEASE, encodeLease(call), timeoutMs)) {
             is HttpOutcome.NotWritten -> LeaseOutcome.NoAnswer(outcome.reason)
             is HttpOutcome.Lost -> LeaseOutcome.NoAnswer(outcome.reason)
             is HttpOutcome.Answer -> leaseOutcome(outcome)
         }
-    }
 
     private fun leaseOutcome(answer: HttpOutcome.Answer): LeaseOutcome = when (answer.status) {
         OK -> decodeRunList(answer.body)?.let { LeaseOutcome.Answered(it) } ?: LeaseOutcome.NoAnswer("the answer cannot be read")
@@ -93,26 +69,40 @@
         else -> LeaseOutcome.NoAnswer("status ${answer.status}")
     }
 
-    private suspend fun post(worker: WorkerEntry, call: String, body: JsonObject, timeoutMs: Long): HttpOutcome {
-        val address = "${worker.host}:${worker.port}"
-        val request = try {
-            Request
-                .Builder()
-                .url("http://$address/v1/$call")
-                .header("Expected-Instance", worker.id)
-                .post(OneShotBody(body.toString().encodeToByteArray(), JSON_TYPE))
-                .build()
+    private suspend fun post(worker: WorkerEntry, call: WorkerCall, body: String, timeoutMs: Long): HttpOutcome {
+        val target = target(worker) ?: return HttpOutcome.NotWritten("worker ${worker.id} has no usable address", unreachable = true)
+        val request = Request.Builder().url(target.url(call)).post(OneShotBody(body.encodeToByteArray(), JSON_TYPE))
+        try {
+            request.header("Expected-Instance", worker.id)
         } catch (e: IllegalArgumentException) {
             return HttpOutcome.NotWritten("no request can be sent to worker ${worker.id}: ${e.message}", unreachable = true)
         }
-        val channel = channels.computeIfAbsent(address) { HttpChannel(CHANNEL, threads) }
-        return channel.send(request, timeoutMs)
+        return target.channel.send(request, timeoutMs)
+    }
+
+    private fun target(worker: WorkerEntry): Target? {
+        val address = worker.address()
+        return targets[address] ?: "http://$address/v1/".toHttpUrlOrNull()?.let { base ->
+            targets.computeIfAbsent(address) { Target(base, HttpChannel(CHANNEL, threads)) }
+        }
     }
 
     /** Closes the connections to addresses outside [workers]. */
     fun retain(workers: List<WorkerEntry>) {
-        val keep = workers.map { "${it.host}:${it.port}" }.toSet()
-        (channels.keys - keep).forEach { channels.remove(it)?.close() }
+        val keep = workers.map { it.address() }.toSet()
+        (targets.keys - keep).forEach { targets.remove(it)?.channel?.close() }
+    }
+
+    private fun WorkerEntry.address() = "$host:$port"
+
+    /** A call to a worker; [path] is relative to the worker's base URL. */
+    private enum class WorkerCall(val path: String) { START("run-start"), STOP("run-stop"), LEASE("hold") }
+
+    /** The connections to a worker at [base], and the URL of each call. */
+    private class Target(base: HttpUrl, val channel: HttpChannel) {
+        private val urls = WorkerCall.entries.map { base.newBuilder().addPathSegment(it.path).build() }
+
+        fun url(call: WorkerCall): HttpUrl = urls[call.ordinal]
     }
 
     private companion object {
--- a/src/main/kotlin/dandelionpoint/transport/http/HttpChannel.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/HttpChannel.kt
@@ -8,7 +8,6 @@
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
 import okhttp3.Call
-import okhttp3.Callback
 import okhttp3.ConnectionPool
 import okhttp3.ConnectionSpec
 import okhttp3.Dispatcher
@@ -18,9 +17,11 @@
 import okhttp3.Request
 import okhttp3.RequestBody
 import okhttp3.Response
+import okhttp3.ResponseBody
 import okio.BufferedSink
 import java.io.IOException
 import java.net.Proxy
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.SynchronousQueue
 import java.util.concurrent.ThreadPoolExecutor
 import java.util.concurrent.TimeUnit
@@ -42,20 +43,42 @@
     val isCleartext: Boolean = false,
 )
 
-/** Thread pool for calls in flight, at most [maxCalls], shared by channels. Further calls are queued, within their timeouts. */
-internal class CallThreads(maxCalls: Int) : AutoCloseable {
+/**
+ * Thread pool for calls in flight, at most [maxCalls], shared by channels. Further calls are queued, within their timeouts. OkHttp's own
+ * queue of calls is not used: it renames a thread for each call and searches the calls in flight twice.
+ */
+internal class CallThreads(private val maxCalls: Int) : AutoCloseable {
     private val executor =
         ThreadPoolExecutor(0, Int.MAX_VALUE, THREAD_IDLE_S, TimeUnit.SECONDS, SynchronousQueue()) { task ->
             Thread(null, task, "http-call", THREAD_STACK_BYTES).apply { isDaemon = true }
         }
+    private val queued = ArrayDeque<Runnable>()
+    private var inFlight = 0
+
+    /** Registers the calls in flight, so that [close] can cancel them. */
+    val dispatcher = Dispatcher(executor)
+
+    /** Runs [call], which may not throw, on a thread of the pool. Throws RejectedExecutionException if the pool is closed. */
+    fun execute(call: Runnable) {
+        if (startOrQueue(call)) executor.execute { runWithQueued(call) }
+    }
+
+    private fun startOrQueue(call: Runnable): Boolean = synchronized(queued) {
+        (inFlight < maxCalls).also { isStarted -> if (isStarted) inFlight++ else queued.addLast(call) }
+    }
 
-    /** OkHttp's queue of calls. */
-    val dispatcher =
-        Dispatcher(executor).apply {
-            maxRequests = maxCalls
-            // OkHttp counts by host name without port, so all workers on one host share the limit per host.
-            maxRequestsPerHost = maxCalls
+    private fun runWithQueued(first: Runnable) {
+        var next: Runnable? = first
+        while (next != null) {
+            next.run()
+            next = takeQueued()
         }
+    }
+
+    /** The call that waits longest. If there is none, the caller's thread has no call in flight any more. */
+    private fun takeQueued(): Runnable? = synchronized(queued) {
+        queued.removeFirstOrNull().also { if (it == null) inFlight-- }
+    }
 
     override fun close() {
         dispatcher.cancelAll()
@@ -76,9 +99,9 @@
     private val client = buildClient()
 
     /** Sends [request] at most once and waits up to [timeoutMs] for its response. Cancelling the coroutine cancels the exchange. */
-    suspend fun send(request: Request, timeoutMs: Long): HttpOutcome {
+    suspend fun send(request: Request.Builder, timeoutMs: Long): HttpOutcome {
         val gate = WriteGate()
-        val tagged = request.newBuilder().tag(WriteGate::class.java, gate).build()
+        val tagged = request.tag(WriteGate::class.java, gate).build()
         val outcome = withTimeoutOrNull(timeoutMs) { sendOverLiveConnection(tagged, gate) }
         return outcome ?: lostOrNotWritten(gate, "no answer within $timeoutMs ms")
     }
@@ -96,14 +119,20 @@
     /** Returns null if the call got a stale connection; nothing was written then. */
     private suspend fun Call.await(gate: WriteGate): HttpOutcome? = suspendCancellableCoroutine { continuation ->
         continuation.invokeOnCancellation { cancel() }
-        enqueue(
-            object : Callback {
-                override fun onFailure(call: Call, e: IOException) =
-                    continuation.resume(if (e is StaleConnectionException) null else lostOrNotWritten(gate, e.describe()))
-
-                override fun onResponse(call: Call, response: Response) = continuation.resume(response.use { readComplete(it) })
-            },
-        )
+        try {
+            threads.execute { continuation.resume(runCatching { exchange(this, gate) }.getOrElse { lostOrNotWritten(gate, "$it") }) }
+        } catch (e: RejectedExecutionException) {
+            continuation.resume(lostOrNotWritten(gate, "the client is closed: ${e.message}"))
+        }
+    }
+
+    /** Sends [call] and reads its response on this thread. Returns null if the call got a stale connection. */
+    private fun exchange(call: Call, gate: WriteGate): HttpOutcome? = try {
+        call.execute().use { readComplete(it) }
+    } catch (_: StaleConnectionException) {
+        null
+    } catch (e: IOException) {
+        lostOrNotWritten(gate, e.describe())
     }
 
     private fun lostOrNotWritten(gate: WriteGate, reason: String): HttpOutcome =
@@ -114,7 +143,7 @@
         when {
             !response.hasDelimitedBody() -> HttpOutcome.Lost("response body without Content-Length or chunked encoding", response.code)
 
-            body.contentLength() > settings.maxBodyBytes || body.source().request(settings.maxBodyBytes + 1) ->
+            body.isLongerThan(settings.maxBodyBytes) ->
                 HttpOutcome.Lost("response body above ${settings.maxBodyBytes} bytes", response.code)
 
             else -> HttpOutcome.Answer(response.code, body.bytes())
@@ -159,6 +188,10 @@
     }
 }
 
+/** Reads a body of unknown length up to [maxBytes] to find out. */
+private fun ResponseBody.isLongerThan(maxBytes: Long): Boolean =
+    if (contentLength() >= 0) contentLength() > maxBytes else source().request(maxBytes + 1)
+
 /** False for a body that is ended by closing the connection, because a truncated body cannot be distinguished from a complete one. */
 private fun Response.hasDelimitedBody(): Boolean =
     header("Content-Length") != null || header("Transfer-Encoding").equals("chunked", ignoreCase = true) || code in BODYLESS_STATUSES
--- a/src/main/kotlin/dandelionpoint/transport/store/PlatformClient.kt
+++ b/src/main/kotlin/dandelionpoint/transport/store/PlatformClient.kt
@@ -51,7 +51,7 @@
         query: Map<String, String> = emptyMap(),
         vararg accepted: Int,
     ): Either<StoreError, PlatformResponse> {
-        val answer = channel.send(request(url(path, query)).get().build(), settings.timeoutMs)
+        val answer = channel.send(request(url(path, query)).get(), settings.timeoutMs)
         return when (answer) {
             is HttpOutcome.Answer -> answer.ifAccepted(accepted) { StoreError.NotApplied(it) }
             is HttpOutcome.NotWritten -> StoreError.NotApplied(answer.reason).left()
@@ -61,7 +61,7 @@
 
     /** Sends a change. The statuses 4xx and 503 mean that the platform refused it before any effect: [StoreError.NotApplied]. */
     internal suspend fun change(method: String, path: String, body: ByteArray, type: String): Either<StoreError, PlatformResponse> {
-        val request = request(url(path, emptyMap())).method(method, OneShotBody(body, type.toMediaType())).build()
+        val request = request(url(path, emptyMap())).method(method, OneShotBody(body, type.toMediaType()))
         return when (val answer = channel.send(request, settings.timeoutMs)) {
             is HttpOutcome.Answer -> answer.ifAccepted(intArrayOf()) { changeError(answer.status, it) }
             is HttpOutcome.NotWritten -> StoreError.NotApplied(answer.reason).left()
--- a/src/main/kotlin/dandelionpoint/transport/worker/HttpWorkerClient.kt
+++ b/src/main/kotlin/dandelionpoint/transport/worker/HttpWorkerClient.kt
@@ -79,7 +79,7 @@
         .addPathSegment("run")
         .build()
 
-    private fun request(url: HttpUrl, call: WorkerCall): Request {
+    private fun request(url: HttpUrl, call: WorkerCall): Request.Builder {
         val request =
             Request
                 .Builder()
@@ -88,7 +88,7 @@
                 .header("Accept-Encoding", "identity")
                 .header(PlatformApi.DATA_CENTRE_HEADER, settings.dataCentre)
         call.traceParent?.let { request.header("traceparent", it) }
-        return request.build()
+        return request
     }
 
     /** A worker's connections and the number of calls to it in flight. */
--- a/src/test/kotlin/dandelionpoint/platform/PlatformBodiesTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformBodiesTest.kt
@@ -3,7 +3,10 @@
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.fleet.FleetJob
 import dandelionpoint.protocol.fleet.JobStep
+import dandelionpoint.protocol.fleet.LeaseCall
+import dandelionpoint.protocol.fleet.StartOrder
 import dandelionpoint.protocol.fleet.TaskRef
+import dandelionpoint.protocol.fleet.TaskRun
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
@@ -22,6 +25,13 @@
     """{"service":"p","address":"10.0.0.9:8080","zone":"akl-a","state":"ready","capacity":{"cpu":16000,"mem_mb":512},
     "labels":["a","r1-3"],"born":17}"""
 
+/** A run list whose rows have all members, one of them with a fraction. */
+private const val BUSY_RUN_LIST =
+    """{"clock_ms":482113,"born":1764945600000,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41,6800],["00ab.0.0.1",1,"0b",100,0.5]],""" +
+        """"ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"failed",""],[59,"00ab.0.0.2",2,"lapsed","00"]]}"""
+
+private val LEASE_MEMBERS = listOf("fencing_token", "last_seen", "deadline_ms", "wait_ms")
+
 private fun worker(text: String) = decodeWorker("i-1", text.encodeToByteArray())
 
 private fun job(text: String) = decodeJob("0000000000000001", text.encodeToByteArray())
@@ -108,4 +118,45 @@
                 decodeTask("00ab.0.x.1").shouldBeNull()
             }
         }
+
+        describe("a run list") {
+            it("in the usual form is read without a tree of values") {
+                listOf(VALID_RUN_LIST, BUSY_RUN_LIST, """{"clock_ms":1,"running":[],"ended":[]}""").forEach { text ->
+                    val bytes = text.encodeToByteArray()
+                    RunListReader(bytes).read().shouldNotBeNull() shouldBe decodeAnyRunList(bytes)
+                }
+            }
+
+            // Guards against a list that is misread because it is not quite in the usual form.
+            it("that was changed at random is read as by the reader of any form, or left to that") {
+                listOf(VALID_RUN_LIST, BUSY_RUN_LIST).forEach { list ->
+                    checkAll(PropTestConfig(seed = 41, iterations = 3_000), oddDocuments(list)) { bytes ->
+                        RunListReader(bytes).read()?.let { it shouldBe decodeAnyRunList(bytes) }
+                    }
+                }
+            }
+        }
+
+        describe("a call to a worker") {
+            // Guards against a payload that breaks the body of a start order.
+            it("contains what was ordered, whatever the payload") {
+                checkAll(PropTestConfig(seed = 43), Arb.string(0..200), Arb.long(0L..Long.MAX_VALUE)) { payload, number ->
+                    val order = StartOrder(TaskRun(TaskRef("00ab", 1, 17), 3), payload, leaseUntilMs = number, token = 7)
+                    val body = parseObject(encodeStart(order).encodeToByteArray()).shouldNotBeNull()
+                    body.text("task") shouldBe "00ab.0.1.17"
+                    body.text("spec") shouldBe payload
+                    listOf("run", "deadline_ms", "fencing_token").map { body.long(it) } shouldBe listOf(3, number, 7)
+                }
+            }
+
+            it("names the run to stop, or the lease and the ends that were seen") {
+                val stop = parseObject(encodeStop(TaskRun(TaskRef("00ab", 1, 17), 3), token = 7).encodeToByteArray()).shouldNotBeNull()
+                stop.text("task") shouldBe "00ab.0.1.17"
+                listOf("run", "fencing_token").map { stop.long(it) } shouldBe listOf(3, 7)
+                val call = parseObject(encodeLease(LeaseCall(7, 57, 486_000, 250)).encodeToByteArray()).shouldNotBeNull()
+                LEASE_MEMBERS.map { call.long(it) } shouldBe listOf(7, 57, 486_000, 250)
+                val poll = parseObject(encodeLease(LeaseCall(7, 57, null, 0)).encodeToByteArray()).shouldNotBeNull()
+                LEASE_MEMBERS.map { poll.long(it) } shouldBe listOf(7, 57, null, null)
+            }
+        }
     })
