Conclude the end of a process only nearby, and keep dispatching in pauses and outages where that is safe

- A cut between data centres may refuse connections to live VMs.
The end of a process is now concluded only of a peer of the same data centre, only from a refused connection (one that timed out is of the same exception class), and it is withdrawn when the peer is heard again or has renewed its claim since.
- After a pause during an outage of the store, the claims of a VM stayed unproven until its end, while its peers still sent jobs there.
A pause no longer matters if it is too short for the claims to have become stale, and unproven cells are not announced.
- While the store is out, no claim can be made on the cells of a lost owner.
The VM that is to take them over then dispatches, as before, once the owner's claim would be stale.
- A heartbeat that carries a cancellation reaches the owners of the job's remote runs too, also if the dispatching VM has not got it: they stop the runs.
Before, the same heartbeat extended the runs' leases.
- Routes are looked up after a check for a pause of this process.

Tests: CellClaimsTest (heard again; store out; short and long pause), JobOwnershipTest.

--- a/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
@@ -11,6 +11,7 @@
 import dandelionpoint.coordination.fleet.Cells
 import dandelionpoint.coordination.fleet.ClaimRules
 import dandelionpoint.coordination.fleet.FleetRules
+import dandelionpoint.coordination.fleet.ProcessPause
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.RowWrite
 import dandelionpoint.protocol.fleet.RowsRead
@@ -19,6 +20,7 @@
 import dandelionpoint.protocol.fleet.WriteResult
 import dandelionpoint.protocol.millis
 import dandelionpoint.protocol.peer.VmIdentity
+import dandelionpoint.protocol.store.StoreError
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.json.Json
 import java.util.concurrent.ConcurrentHashMap
@@ -70,19 +72,32 @@
         /** The store's clock minus this VM's monotonic clock. */
         var storeClockOffsetMs = storeMs - clock.millis()
         var offeredAt: Long? = null
+
+        /** When the last call was sent that showed the claim to be in the store. */
+        var provenAt = clock.millis()
+
+        /** A call that was sent at [sentAt], after [pausesBefore] pauses, has shown the claim to be in the store. */
+        fun prove(sentAt: Long, pausesBefore: Int) {
+            provenAt = sentAt
+            provenAfterPauses = pausesBefore
+        }
     }
 
     private val claims = ConcurrentHashMap<String, OwnClaim>()
     private val orphanedSince = ConcurrentHashMap<String, Long>()
     private val handoverRequests = ConcurrentHashMap<String, VmIdentity>()
 
-    /** When the processes of former owners ended, by their incarnations. */
+    /** When the processes of former owners were found to have ended, by their incarnations. */
     private val endedOwners = ConcurrentHashMap<String, Long>()
     private var hasReclaimed = false
 
     @Volatile
     private var renewedAt = NEVER
 
+    /** When the store last answered a call. */
+    @Volatile
+    private var answeredAt = clock.millis()
+
     /** Pauses of this process that were long enough for another VM to take over its cells. */
     @Volatile
     private var pauses = 0
@@ -100,14 +115,32 @@
         cells.forEach { orphanedSince[it] = NEVER }
     }
 
-    /** This process was paused for so long that other VMs may have claimed its cells: its claims count again once they are renewed. */
-    fun onProcessPause() {
+    /** [vm] is alive: what seemed to show the end of its process did not. */
+    fun ownerHeard(vm: VmIdentity) {
+        endedOwners.remove(vm.incarnation)
+    }
+
+    /**
+     * This process was paused. If another VM may have found its claims to be stale meanwhile, they count again once the store has shown
+     * them.
+     */
+    fun onProcessPause(pause: ProcessPause) {
+        val oldestProof = claims.values.minOfOrNull { it.provenAt } ?: return
+        val suspendedMs = pause.maxMs - pause.monotonicMs
+        if (clock.millis() - oldestProof + suspendedMs < rules.claimStaleMs) return
         pauses++
         renewSoon()
     }
 
-    /** True if this VM's claim on [cell], if it has one, was in the store after the last pause of this process. */
-    fun isProven(cell: String): Boolean = claims[cell]?.let { it.provenAfterPauses == pauses } ?: true
+    /** True if this VM has a claim on [cell] that no other VM can have taken over during a pause of this process. */
+    fun isProven(cell: String): Boolean = claims[cell]?.let { it.provenAfterPauses == pauses } ?: false
+
+    /** True if [cell] has had no owner for longer than a claim stays valid, and the store does not answer. */
+    fun isUnclaimable(cell: String): Boolean {
+        val now = clock.millis()
+        val since = orphanedSince[cell] ?: return false
+        return now - answeredAt > STORE_SILENT_MS && now - since > rules.claimStaleMs
+    }
 
     /** A worker has refused a token of this VM: makes the next step renew the claims, which shows whether they are still valid. */
     fun renewSoon() {
@@ -156,17 +189,18 @@
         val writes = batch.map { own ->
             RowWrite(own.cell, encode(CellClaim(host.self, own.token, now + own.storeClockOffsetMs)), own.version)
         }
-        val written = (store.writeAll(TABLE, writes) as? Either.Right)?.value as? WriteResult.Written ?: return reread(batch)
+        val written = answer(store.writeAll(TABLE, writes)) as? WriteResult.Written ?: return reread(batch)
         batch.forEach { own ->
             own.version = written.version
             own.storeClockOffsetMs = written.storeMs - clock.millis()
-            own.provenAfterPauses = pausesBefore
+            own.prove(now, pausesBefore)
         }
     }
 
     /** Reads whether the rows still contain this VM's claims, after a renewal that failed or had an unknown outcome. */
     private suspend fun reread(batch: List<OwnClaim>) = batch.groupBy { Cells.dataCentreOf(it.cell) }.values.forEach { claims ->
         val pausesBefore = pauses
+        val sentAt = clock.millis()
         val read = readRows(claims.map { it.cell }) ?: return@forEach
         val rows = read.rows.associateBy { it.key }
         claims.forEach { own ->
@@ -175,7 +209,7 @@
             if (row != null && claim?.vm == host.self) {
                 own.version = row.version
                 own.storeClockOffsetMs = read.storeMs - clock.millis()
-                own.provenAfterPauses = pausesBefore
+                own.prove(sentAt, pausesBefore)
             } else {
                 onClaimLost(own, claim?.vm)
             }
@@ -233,14 +267,20 @@
         if (free.isEmpty()) return
         val claim = encode(CellClaim(host.self, token = 0, renewedAtStoreMs = read.storeMs))
         val writes = free.map { RowWrite(it, claim, expected = rows[it]?.version ?: 0L) }
-        val written = (store.writeAll(TABLE, writes) as? Either.Right)?.value as? WriteResult.Written ?: return
+        val written = answer(store.writeAll(TABLE, writes)) as? WriteResult.Written ?: return
         free.forEach { gained(OwnClaim(it, written.version, written.storeMs, pausesBefore), wanted[it]) }
     }
 
     private fun isFree(current: CellClaim?, from: VmIdentity?, storeMs: Long): Boolean =
-        current == null || current.vm.name == host.self.name || current.vm == from || endedOwners.containsKey(current.vm.incarnation) ||
+        current == null || current.vm.name == host.self.name || current.vm == from || hasEnded(current, storeMs) ||
             ClaimRules.isStale(current, storeMs, rules)
 
+    /** True if the owner's process was found to have ended, and has not renewed [claim] since then. */
+    private fun hasEnded(claim: CellClaim, storeMs: Long): Boolean {
+        val foundAt = endedOwners[claim.vm.incarnation] ?: return false
+        return storeMs - claim.renewedAtStoreMs >= clock.millis() - foundAt
+    }
+
     private fun gained(claim: OwnClaim, from: VmIdentity?) {
         claims[claim.cell] = claim
         orphanedSince.remove(claim.cell)
@@ -250,7 +290,10 @@
 
     /** Reads the rows from the first to the last of [cells] of one data centre, others between them included. */
     private suspend fun readRows(cells: Collection<String>): RowsRead? =
-        (store.read(TABLE, from = cells.min(), to = cells.max() + "\u0000") as? Either.Right)?.value
+        answer(store.read(TABLE, from = cells.min(), to = cells.max() + "\u0000"))
+
+    /** The store's answer to a call, null if there was none. */
+    private fun <T : Any> answer(result: Either<StoreError, T>): T? = (result as? Either.Right)?.value?.also { answeredAt = clock.millis() }
 
     private fun encode(claim: CellClaim) = JSON.encodeToString(CellClaim.serializer(), claim).encodeToByteArray()
 
@@ -279,6 +322,9 @@
         /** A claim that is lost within this time after the cell was offered was handed over, in ms. */
         private const val HANDOVER_MS = 3_000L
 
+        /** The store counts as out after this long without an answer, in ms; a VM with claims calls it twice a second. */
+        private const val STORE_SILENT_MS = 1_500L
+
         /** How long it is remembered that an owner's process has ended, in ms: longer than its cells take to be claimed. */
         private const val ENDED_KEPT_MS = 60_000L
 
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -100,13 +100,18 @@
 
         override fun disconnected(vm: VmIdentity) = Unit
 
-        /** The process has ended, so that its cells need not stay without an owner until its claims are stale. */
+        /**
+         * The process has ended, so that its cells need not stay without an owner until its claims are stale. A cut between data centres
+         * may refuse connections too, so that this is concluded of a peer of the same one only.
+         */
         override fun refused(address: PeerAddress) {
             val ended = peers.liveness.live().map { it.vm }.firstOrNull { it.host == address.host && it.port == address.port } ?: return
+            if (ended.dataCentre != settings.dataCentre) return
             log.info { "event=peer_ended peer=${ended.name} incarnation=${ended.incarnation}" }
-            claims.ownerEnded(ended, peers.directory.cellsOf(ended))
+            val owned = peers.directory.cellsOf(ended)
             peers.liveness.remove(ended)
             peerLost(ended)
+            claims.ownerEnded(ended, owned)
         }
     }
 
@@ -201,7 +206,10 @@
     /** Names of the cells that this VM owns. */
     fun ownedCells(): Set<String> = cells.owned().map { it.cell.name }.toSet()
 
-    private fun routeOf(jobId: String): DispatchRoute = if (dispatch.hasJob(jobId)) DispatchRoute.Here else ownership.route(jobId)
+    private fun routeOf(jobId: String): DispatchRoute {
+        admission.check()
+        return if (dispatch.hasJob(jobId)) DispatchRoute.Here else ownership.route(jobId)
+    }
 
     /** Time of the last sign of life from the VM with [vm] as its incarnation, null if it is lost or unknown. */
     private fun heardAt(vm: String): Long? = if (vm == incarnation) clock.millis() else peers.liveness.heardAt(vm)
@@ -224,6 +232,8 @@
     private inner class OwnView : CellView {
         override fun ownToken(cell: String): Long? = cells.token(cell)?.takeIf { claims.isProven(cell) }
 
+        override fun mayDispatchUnclaimed(cell: String): Boolean = claims.isUnclaimable(cell)
+
         override fun successor(cell: String): VmIdentity? {
             val name = plan.owner(cell)?.name
             return if (name == null || name == self.name) null else livePeer(name)
@@ -297,7 +307,9 @@
         /** VMs of other data centres need not know the cells of this one: they claim them only if it has no live VM. */
         override fun heartbeat(isSameDataCentre: Boolean): FleetHeartbeat {
             val now = clock.millis()
-            val shown = cells.owned().map { it.cell }.filter { isSameDataCentre || Cells.dataCentreOf(it.name) != settings.dataCentre }
+            val shown = cells.owned().map { it.cell }.filter {
+                claims.isProven(it.name) && (isSameDataCentre || Cells.dataCentreOf(it.name) != settings.dataCentre)
+            }
             return FleetHeartbeat(
                 cells = shown.associate { it.name to it.token },
                 freeCapacity = cells.freeCapacity(),
@@ -324,6 +336,7 @@
 
     private fun onHeartbeat(from: VmIdentity, heartbeat: FleetHeartbeat) {
         applyCancellations(from, heartbeat)
+        claims.ownerHeard(from)
         peers.onHeartbeat(from, heartbeat, clock.millis())
         runner.onRemoteCapacity()
         if (heartbeat.configVersion > tables.configurationVersion) scope.launch { pullConfiguration(from) }
@@ -335,6 +348,15 @@
             runner.cancel(it)
         }
         heartbeat.cancelledRuns.forEach { remoteRuns.stop(RunKey(from.incarnation, it.dispatch, it.run)) }
+        // The dispatching VM may not have heard of it, while this heartbeat reaches the owners of the job's runs.
+        if (heartbeat.cancelledJobs.isNotEmpty()) {
+            cells.stopRunsOfClient(
+                from.incarnation,
+                heartbeat.cancelledJobs.mapTo(HashSet()) {
+                    it.jobId
+                },
+            )
+        }
     }
 
     private fun configurationMessage(): PeerMessage? = tables.configuration?.let { PeerMessage.ConfigChanges(it.version, it.document) }
@@ -363,7 +385,7 @@
             log.warn { "event=stood_still pause_ms=${pause.maxMs}" }
             peers.liveness.onProcessPause(pause.monotonicMs, clock.millis())
             if (!isLost) return
-            claims.onProcessPause()
+            claims.onProcessPause(pause)
             runner.onProcessPause(pause.maxMs)
             // A longer pause has outlasted their leases, and after a step of the wall clock, which looks like one, they are still wanted.
             if (pause.maxMs - TICK_MS <= rules.longestLeaseMs) cells.stopRunsOfOthers(incarnation)
--- a/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
@@ -145,6 +145,10 @@
     /** Stops the runs that other VMs than [self] have dispatched, in the cells that were handed over as well. */
     fun stopRunsOfOthers(self: String) = all().forEach { cell -> cell.stopRuns { it.origin != self } }
 
+    /** Stops the runs of [jobIds] whose clients are connected to the VM with the incarnation [entryVm]. */
+    fun stopRunsOfClient(entryVm: String, jobIds: Set<String>) =
+        all().forEach { cell -> cell.stopRuns { it.entryVm == entryVm && it.task.jobId in jobIds } }
+
     /** [vm] is lost: stops the runs that it dispatched, and frees the workers that it had not released yet. */
     fun peerLost(vm: VmIdentity) {
         all().forEach { controller -> controller.stopRuns { it.origin == vm.incarnation } }
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -34,7 +34,7 @@
 
     fun disconnected(vm: VmIdentity)
 
-    /** No process listens at [address]: the one that did has ended. */
+    /** A connection to [address] was refused: no process listens there, or a firewall between the data centres says so. */
     fun refused(address: PeerAddress) = Unit
 }
 
@@ -141,7 +141,7 @@
             if (!scope.isActive) throw e
         } catch (e: ConnectException) {
             logConnectionEnd("outbound to ${address.host}:${address.port}", e)
-            events.refused(address)
+            if (REFUSED in e.message.orEmpty()) runCatching { events.refused(address) }
         } catch (e: Exception) {
             logConnectionEnd("outbound to ${address.host}:${address.port}", e)
         } finally {
@@ -192,6 +192,8 @@
     }
 
     private companion object {
+        /** Text of the exception for a refused connection; one for a connection that timed out is of the same class. */
+        const val REFUSED = "refused"
         const val MAX_INBOUND_CONNECTIONS = 512
 
         /** Number of peers that the first frame of a connection names: enough to find all others, while the frame stays small. */
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/JobOwnershipTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/JobOwnershipTest.kt
@@ -14,10 +14,13 @@
 private class VmUnderTest(var token: Long? = null, var successor: VmIdentity? = null) : CellView {
     val directory = CellDirectory()
     val formers = FormerDispatchers()
+    var isStoreSilent = false
     private val ownership = JobOwnership(DATA_CENTRE, this, directory, formers)
 
     override fun ownToken(cell: String): Long? = token.takeIf { cell == CELL }
 
+    override fun mayDispatchUnclaimed(cell: String) = isStoreSilent
+
     override fun successor(cell: String): VmIdentity? = successor
 
     fun route() = ownership.route(JOB_ID)
@@ -44,6 +47,12 @@
                 VmUnderTest().route() shouldBe DispatchRoute.Undecided
                 VmUnderTest(token = 5).route() shouldBe DispatchRoute.Here
             }
+
+            // The jobs of a lost owner's cells would be refused for as long as the outage lasts.
+            it("is dispatched by that VM while the store is out and nobody can claim the cell") {
+                VmUnderTest().apply { isStoreSilent = true }.route() shouldBe DispatchRoute.Here
+                VmUnderTest(successor = OWNER).apply { isStoreSilent = true }.route() shouldBe DispatchRoute.At(OWNER)
+            }
         }
 
         describe("after a handover") {
--- a/src/test/kotlin/dandelionpoint/fleet/CellClaimsTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/CellClaimsTest.kt
@@ -5,6 +5,7 @@
 import dandelionpoint.coordination.fleet.CellPlan
 import dandelionpoint.coordination.fleet.Cells
 import dandelionpoint.coordination.fleet.FleetRules
+import dandelionpoint.coordination.fleet.ProcessPause
 import dandelionpoint.protocol.SchedulerClock
 import dandelionpoint.protocol.fleet.RowWrite
 import dandelionpoint.protocol.fleet.SharedRows
@@ -69,7 +70,11 @@
 
         fun ownerEnded(vm: ClaimingVm) = claims.ownerEnded(vm.self, vm.owned.keys)
 
-        fun onProcessPause() = claims.onProcessPause()
+        fun ownerHeard(vm: ClaimingVm) = claims.ownerHeard(vm.self)
+
+        fun onSuspension(ms: Long) = claims.onProcessPause(ProcessPause(maxMs = ms, monotonicMs = 0))
+
+        fun isUnclaimable(cell: String) = claims.isUnclaimable(cell)
 
         fun isProven(cell: String) = claims.isProven(cell)
 
@@ -135,12 +140,47 @@
             }
 
             // What is in progress at such a VM is known to it alone, and another VM may have its cells by now.
+            // A port may be refused to some VMs only, or for a moment.
+            it("do not take over the cells of a VM that is heard again after its process seemed to have ended") {
+                withVms {
+                    val first = start("vm-1")
+                    runFor(1_500)
+                    val second = start("vm-2")
+                    runFor(STEP_MS)
+                    vms.remove("vm-1")
+                    second.ownerEnded(first)
+                    second.ownerHeard(first)
+                    runFor(2 * STEP_MS)
+                    second.owned.keys.shouldBeEmpty()
+                }
+            }
+
+            it("find a cell unclaimable only when the store has not answered for longer than its owner's claim stays valid") {
+                withVms {
+                    start("vm-1")
+                    runFor(1_500)
+                    val second = start("vm-2")
+                    runFor(STEP_MS)
+                    vms.remove("vm-1")
+                    rows.isDown = true
+                    runFor(1_200)
+                    second.isUnclaimable(CELLS.first()) shouldBe false
+                    runFor(1_500)
+                    second.isUnclaimable(CELLS.first()) shouldBe true
+                    rows.isDown = false
+                    runFor(STEP_MS)
+                    second.isUnclaimable(CELLS.first()) shouldBe false
+                }
+            }
+
             it("do not count a claim as theirs after a long pause until the store has shown it") {
                 withVms {
                     val vm = start("vm-1")
                     runFor(1_500)
                     vm.isProven(CELLS.first()) shouldBe true
-                    vm.onProcessPause()
+                    vm.onSuspension(600)
+                    vm.isProven(CELLS.first()) shouldBe true
+                    vm.onSuspension(2_000)
                     vm.isProven(CELLS.first()) shouldBe false
                     runFor(STEP_MS)
                     vm.isProven(CELLS.first()) shouldBe true
