--- a/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
@@ -35,6 +35,9 @@
 
     private val server: Javalin = Javalin.create { config ->
         config.startup.showJavalinBanner = false
+        // The version check formats a date, and the watcher is a thread that warns if the server is not started soon.
+        config.startup.showOldJavalinVersionWarning = false
+        config.startup.startupWatcherEnabled = false
         config.http.maxRequestSize = MAX_BODY_BYTES
         config.jetty.threadPool = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
         config.jetty.modifyHttpConfiguration { it.sendServerVersion = false }
