Decode an unchanged heartbeat once and write frames on the sending thread

Each was decoded, got a timer for its body and a coroutine for its handling, and each frame that was sent woke the VM's thread once more for the writer of the connection. Most heartbeats have the same bytes as the last one.

Change: a connection keeps the last message without a reply and returns it again if the next frame has the same bytes; the wire is unchanged. The body is read without a timer if it has arrived whole. Messages without a reply are handled in the reader's coroutine, in their order; calls still run beside each other. The writer runs unconfined, on the thread that sends. A write that fails now closes the connection: with the unconfined writer it ended as an uncaught exception (seen in HeartbeatSenderTest, which ran after FleetVmTest in one JVM and reports such exceptions).

The new case of PeerNetworkTest fails without the handler of the failed write.

--- a/src/main/kotlin/dandelionpoint/transport/peer/FrameCodec.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/FrameCodec.kt
@@ -7,6 +7,7 @@
 import dandelionpoint.protocol.peer.PeerFrame
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.availableForRead
 import io.ktor.utils.io.readByteArray
 import io.ktor.utils.io.readInt
 import io.ktor.utils.io.writeByteArray
@@ -42,10 +43,15 @@
     }
 
     /** Waits for the next frame and returns it. */
-    suspend fun read(channel: ByteReadChannel): PeerFrame {
+    suspend fun read(channel: ByteReadChannel): PeerFrame = decode(readBytes(channel))
+
+    /** Waits for the next frame and returns it as [decode] expects it. */
+    suspend fun readBytes(channel: ByteReadChannel): ByteArray {
         val length = channel.readInt()
         if (length !in 1..maxBytes) throw FrameException("frame length $length is outside 1 to $maxBytes")
-        return decode(withTimeout(bodyTimeoutMs) { channel.readByteArray(length) })
+        // Most frames arrive whole, so that reading their body needs no timer.
+        if (channel.availableForRead >= length) return channel.readByteArray(length)
+        return withTimeout(bodyTimeoutMs) { channel.readByteArray(length) }
     }
 
     /** Writes [bytes] as one frame and flushes it. */
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerConnection.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerConnection.kt
@@ -16,10 +16,12 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
@@ -84,9 +86,11 @@
 
     /** Reads and writes frames until the connection ends, then completes all pending calls as lost. */
     suspend fun serve(scope: CoroutineScope) {
-        val writer = scope.launch { writeFrames() }
+        // Unconfined: a frame is written by the thread that sends it, without a switch to another one.
+        val writer = scope.launch(Dispatchers.Unconfined) { writeFrames() }
+        val frames = FrameReader(input, codec)
         try {
-            while (true) onFrame(codec.read(input), scope)
+            while (true) onFrame(frames.next(), scope)
         } finally {
             writer.cancel()
             close()
@@ -94,30 +98,40 @@
     }
 
     private suspend fun writeFrames() {
-        for (bytes in outgoing) {
-            codec.write(output, bytes)
-            traffic.sent(bytes.size)
+        try {
+            for (bytes in outgoing) {
+                codec.write(output, bytes)
+                traffic.sent(bytes.size)
+            }
+        } catch (e: IOException) {
+            log.debug { "event=peer_write_failed peer=${remote.name} reason=\"${e.message}\"" }
+            close()
         }
     }
 
-    private fun onFrame(frame: PeerFrame, scope: CoroutineScope) {
+    /** Messages without a reply are handled in the order in which they arrive; calls, which may take long, run beside each other. */
+    private suspend fun onFrame(frame: PeerFrame, scope: CoroutineScope) {
         traffic.received()
-        if (frame.isReply) {
-            pendingCalls.remove(frame.call)?.complete(PeerReply.Answered(frame.message))
-            return
-        }
-        // Most messages are heartbeats, which are handled without suspension: no other thread has to be woken for them.
-        scope.launch(start = CoroutineStart.UNDISPATCHED) {
-            if (isDropped) return@launch
-            val reply = runCatching { handler(remote, frame.message) }
-            reply.exceptionOrNull()?.takeIf {
-                it !is CancellationException
-            }?.let { log.warn(it) { "event=peer_handler_failed peer=${remote.name}" } }
-            val message = reply.getOrNull()
-            if (message != null && frame.call != 0L) enqueue(PeerFrame(frame.call, isReply = true, message = message))
+        when {
+            frame.isReply -> pendingCalls.remove(frame.call)?.complete(PeerReply.Answered(frame.message))
+            frame.call == 0L -> handle(frame.message)
+            else -> scope.launch(start = CoroutineStart.UNDISPATCHED) { answer(frame) }
         }
     }
 
+    private suspend fun answer(call: PeerFrame) {
+        val reply = handle(call.message) ?: return
+        enqueue(PeerFrame(call.call, isReply = true, message = reply))
+    }
+
+    private suspend fun handle(message: PeerMessage): PeerMessage? {
+        if (isDropped) return null
+        val reply = runCatching { handler(remote, message) }
+        val failure = reply.exceptionOrNull()
+        if (failure != null && failure !is CancellationException) log.warn(failure) { "event=peer_handler_failed peer=${remote.name}" }
+        return reply.getOrNull()
+    }
+
     private fun enqueue(frame: PeerFrame): Boolean = outgoing.trySend(codec.encode(frame)).isSuccess
 
     /** Sends [message] without a reply; discards it if the queue is full or the connection is closed. */
--- a/src/test/kotlin/dandelionpoint/transport/peer/PeerNetworkTest.kt
+++ b/src/test/kotlin/dandelionpoint/transport/peer/PeerNetworkTest.kt
@@ -9,12 +9,17 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.withContext
 import java.net.Socket
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -35,9 +40,10 @@
     name: String,
     cluster: String = "test",
     dispatcher: CoroutineDispatcher = Dispatchers.IO,
+    uncaught: MutableCollection<Throwable> = ConcurrentLinkedQueue(),
     handler: PeerHandler,
 ): Node {
-    val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    val scope = CoroutineScope(SupervisorJob() + dispatcher + CoroutineExceptionHandler { _, failure -> uncaught += failure })
     val network = PeerNetwork(scope, cluster, handler, NoEvents)
     val port = network.bind("127.0.0.1", 0)
     val vm = VmIdentity(name, "incarnation-$name", "region", "dc", "127.0.0.1", port)
@@ -112,6 +118,32 @@
                 }
             }
         }
+        describe("a connection that its peer closes") {
+            // Guards against a failed write that ends as an uncaught exception of the thread that sends, which is busy until then.
+            it("ends without an uncaught exception while messages are sent") {
+                val uncaught = ConcurrentLinkedQueue<Throwable>()
+                val receiver = node("receiver") { _, _ -> null }
+                val thread = Executors.newSingleThreadExecutor().asCoroutineDispatcher()
+                val sender = node("sender", dispatcher = thread, uncaught = uncaught) { _, _ -> null }
+                try {
+                    sender.network.connect(PeerAddress(receiver.vm.host, receiver.vm.port))
+                    eventually(5.seconds) { sender.network.connected() shouldBe setOf(receiver.vm) }
+                    withContext(thread) {
+                        receiver.network.dropAll()
+                        repeat(10) {
+                            sender.network.send(receiver.vm, PeerMessage.Goodbye)
+                            Thread.sleep(MESSAGES_ARRIVE_MS / 10)
+                        }
+                    }
+                    eventually(5.seconds) { sender.network.connected() shouldBe setOf(receiver.vm) }
+                    uncaught.toList() shouldBe emptyList()
+                } finally {
+                    sender.stop()
+                    receiver.stop()
+                    thread.close()
+                }
+            }
+        }
         describe("invalid input on the peer port") {
             it("closes that connection and does not affect others") {
                 val server = node("server") { _, _ -> PeerMessage.Goodbye }
