Keep the peers' free capacity while their heartbeats report no change

Cause: each of about 70 heartbeats a second rebuilt the list of the sender's free workers and woke the loop that places waiting tasks, also with no job in progress.

Change: RemoteCapacity keeps its list if the same heartbeat object is passed again and nothing was reserved or marked as full since. A heartbeat wakes the job loop only if the VM has jobs.

The new case of RemoteCapacityTest (200 seeded rounds of reservations, refusals and losses between equal heartbeats) fails if a reservation does not mark the VM as changed.

--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -314,7 +314,7 @@
 
     private fun onHeartbeat(from: VmIdentity, heartbeat: FleetHeartbeat) {
         peers.onHeartbeat(from, heartbeat, clock.millis())
-        runner.wake()
+        runner.tick()
         if (heartbeat.configVersion > tables.configurationVersion) scope.launch { pullConfiguration(from) }
     }
 
--- a/src/main/kotlin/dandelionpoint/fleet/RemoteCapacity.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/RemoteCapacity.kt
@@ -18,8 +18,13 @@
     private val workers = HashMap<VmIdentity, List<RemoteWorker>>()
     private val cores = HashMap<VmIdentity, Map<String, Int>>()
 
+    /** Last heartbeats of the VMs on which nothing was reserved since. */
+    private val unreserved = HashMap<VmIdentity, FleetHeartbeat>()
+
     /** Replaces what is known of [vm] by its heartbeat. */
     fun update(vm: VmIdentity, heartbeat: FleetHeartbeat) = synchronized(lock) {
+        // The same object is passed again while a peer reports no change.
+        if (unreserved.put(vm, heartbeat) === heartbeat) return@synchronized
         cores[vm] = heartbeat.cores
         workers[vm] = if (heartbeat.isStopping) {
             emptyList()
@@ -30,7 +35,10 @@
 
     /** [vm] refused a run for lack of capacity: counts it as full until its next heartbeat. */
     fun markFull(vm: VmIdentity) {
-        synchronized(lock) { workers.remove(vm) }
+        synchronized(lock) {
+            workers.remove(vm)
+            unreserved.remove(vm)
+        }
     }
 
     /** Removes [vm], which is lost. */
@@ -38,6 +46,7 @@
         synchronized(lock) {
             workers.remove(vm)
             cores.remove(vm)
+            unreserved.remove(vm)
         }
     }
 
@@ -51,6 +60,7 @@
         val near = fitting.filter { it.vm.dataCentre == dataCentre }.ifEmpty { fitting }
         val worker = List(CHOICES) { near.random(random) }.maxBy { it.speed }
         worker.free -= order.demand
+        unreserved.remove(worker.vm)
         worker.vm to RunLocation.Remote(worker.vm.incarnation)
     }
 
--- a/src/test/kotlin/dandelionpoint/fleet/RemoteCapacityTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/RemoteCapacityTest.kt
@@ -35,4 +35,20 @@
             List(4) { remote.reserve(order(index = it))?.first } shouldBe List(4) { near }
             remote.reserve(order(index = 4))?.first shouldBe far
         }
+
+        // Guards against capacity that stays reserved, or a VM that stays full, while its owner keeps reporting the same free capacity.
+        it("a heartbeat that reports no change frees what was reserved or marked as full since the last one") {
+            val remote = RemoteCapacity()
+            val vm = VmIdentity("vm-1", "incarnation-1", "north", "akl-a", "127.0.0.1", 1)
+            val heartbeat = FleetHeartbeat(freeCapacity = mapOf(POOL to listOf(FreeCapacity(Demand(7_000, 64), speed = 1f))))
+            val changes = listOf<(VmIdentity) -> Unit>({ remote.reserve(order()) }, { remote.markFull(it) }, { remote.remove(it) }, { })
+            val random = Random(19)
+            repeat(200) {
+                remote.update(vm, heartbeat)
+                repeat(random.nextInt(4)) { changes.random(random)(vm) }
+                remote.update(vm, heartbeat)
+                remote.reserve(order())?.first shouldBe vm
+                remote.reserve(order()) shouldBe null
+            }
+        }
     })
