Test the race of a remote run's request and cancellation, and the client's signal

The server's clock, which the cancellation reads between check and record, lets the request run in another thread, so that the order is the same each time.

--- a/src/test/kotlin/dandelionpoint/fleet/RemoteRunServerTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/RemoteRunServerTest.kt
@@ -3,6 +3,7 @@
 import dandelionpoint.coordination.fleet.Cell
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
+import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.fleet.RunEnd
 import dandelionpoint.protocol.fleet.TaskRef
@@ -22,6 +23,9 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.seconds
 
 private const val POOL = "booking"
@@ -64,6 +68,32 @@
     fun close() = scope.cancel()
 }
 
+/**
+ * A server that gets the request for a run while it handles the run's cancellation: when the cancellation reads the clock, another thread
+ * handles the request until it has started the run or has to wait for the cancellation.
+ */
+private class RequestDuringCancellation : Clock {
+    val starts = AtomicInteger()
+    private val server = RemoteRunServer({ starts.incrementAndGet() > 0 }, {}, this)
+    private val requester = thread(start = false) { runBlocking { server.run(DISPATCHER, request(index = 0)) } }
+
+    override fun wallMs(): Long = 0
+
+    override fun nanos(): Long {
+        if (requester.state == Thread.State.NEW) letRequestRun()
+        return 0
+    }
+
+    private fun letRequestRun() {
+        requester.start()
+        while (starts.get() == 0 && requester.state != Thread.State.BLOCKED) Thread.onSpinWait()
+    }
+
+    suspend fun cancel(): RunAnswer = server.cancel(RunKey(DISPATCHER.incarnation, dispatch = 0, request(index = 0).run)).also {
+        requester.join()
+    }
+}
+
 /**
  * Guards against remote runs that bypass the placement rules of the cell which runs them. If a request loses its limit of tasks per worker
  * or its rack on the way, the run overloads a worker or is far from its data.
@@ -98,6 +128,13 @@
                 owner.close()
             }
 
+            // Guards against a run that starts after the check that it is unknown and before the record that refuses it, and goes on.
+            it("that is handled at the same time as the request, and finds no run, makes the request start nothing") {
+                val race = RequestDuringCancellation()
+                race.cancel() shouldBe RunAnswer(RunEnd.NOT_STARTED)
+                race.starts.get() shouldBe 0
+            }
+
             it("is answered once the run has ended, again when it is repeated") {
                 val owner = CellOwner(listOf(worker("w", "rack-1"))).apply { awaitCapacity() }
                 val run = owner.run(request(index = 0))
--- a/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
@@ -22,6 +22,7 @@
 import kotlinx.coroutines.delay
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -37,6 +38,9 @@
     var cancelled = 0
     val started = AtomicInteger()
 
+    /** Numbers of the submissions whose own signals were cancelled, in the order in which they arrived. */
+    val signalled = CopyOnWriteArrayList<Int>()
+
     /** Each request is read no further until this is complete. */
     var isReadable: CompletableFuture<Unit> = CompletableFuture.completedFuture(Unit)
 
@@ -52,8 +56,11 @@
     }
 
     override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long, signal: CancellationSignal): JobOutcome {
-        signal.onCancel { cancel(job.id) }
-        started.incrementAndGet()
+        val number = started.incrementAndGet()
+        signal.onCancel {
+            signalled += number
+            cancel(job.id)
+        }
         lastWaitMs = waitMs
         return outcome.await()
     }
@@ -151,6 +158,24 @@
                 }
             }
 
+            // Guards against a disconnection that ends the submission with which the same client has replaced the broken one.
+            it("that disconnects has its own submission cancelled, not another one of the same job") {
+                val service = ScriptedService()
+                withServer(service) { server, port ->
+                    val first = Client(port).apply { post() }
+                    eventually(3.seconds) { service.started.get() shouldBe 1 }
+                    Client(port).use { second ->
+                        second.post()
+                        eventually(3.seconds) { service.started.get() shouldBe 2 }
+                        first.close()
+                        eventually(3.seconds) {
+                            server.poll()
+                            service.signalled shouldBe listOf(1)
+                        }
+                    }
+                }
+            }
+
             // Another VM may already run the job of a client that has given up while its submission lay in the socket.
             it("that has disconnected before its submission is read does not have its job started") {
                 val service = ScriptedService()
