Use a worker again after a false start time or end number

Cause: a start time in the far future in one answer of a worker was taken for a restart, and every later answer, with the worker's own start time, for that of an earlier incarnation: the ends of its runs never counted. A registration with such a start time had the same effect, again with each read of the list. The number of an ended run in the far future was acknowledged, so that all later ends were skipped and every run on that worker was taken for lost. Both lasted until the worker or the owner of its cell changed.

Change: a lease call carries the incarnation that is known when it is sent. An answer with an earlier start time is ignored only if its call was sent before the present incarnation was known; otherwise it corrects it. An entry of the list of workers shows a restart only when its start time has changed. The numbers of the ended runs are forgotten when a worker lists an end that the same call has acknowledged, or no longer lists a run that it had started. A false number costs one run at most.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -72,8 +72,7 @@
                         entry.id !in awaitingRelease
                 }
             }
-            val hasRestarted = entry.startedAtMs != 0L && worker.startedAtMs != 0L && entry.startedAtMs > worker.startedAtMs
-            if (hasRestarted) worker.onRestart(entry.startedAtMs)
+            if (worker.hasRestarted(entry)) worker.onRestart(entry.startedAtMs)
             worker.entry = entry
         }
         val listed = entries.map { it.id }.toSet()
@@ -198,9 +197,11 @@
     /** Applies the worker's run list [report], its answer to [plan]. */
     fun onReport(plan: LeasePlan, report: LeaseReport, now: Long): List<CellEvent> = synchronized(lock) {
         val worker = workers[plan.worker.id] ?: return@synchronized emptyList()
-        if (report.startedAtMs != 0L && report.startedAtMs < worker.startedAtMs) return@synchronized emptyList()
+        if (worker.isOutdated(plan, report)) return@synchronized emptyList()
         // The new incarnation may already have runs of this cell. Those that it does not list are handled below like any missing run.
-        if (report.startedAtMs > worker.startedAtMs) worker.onRestart(report.startedAtMs)
+        if (report.startedAtMs != 0L && report.startedAtMs != worker.startedAtMs) worker.onRestart(report.startedAtMs)
+        // An acknowledged end is not listed again, so a higher number than the worker's own was acknowledged.
+        if (report.ended.any { it.number <= plan.call.seenEnd }) worker.forgetEnds()
         val events = mutableListOf<CellEvent>()
         worker.recordClock(report.clockMs, now)
         worker.isResponsive = true
@@ -234,6 +235,8 @@
                 stops.stop(worker, run, now)
             } else {
                 worker.health.eject(now, UNREACHABLE_MS)
+                // Its end may be hidden by an acknowledgement of a higher number than the worker's own.
+                if (run.hasStarted) worker.forgetEnds()
                 listOf(worker.end(run, RunEnd.LOST))
             }
         }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/LeasePlanner.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/LeasePlanner.kt
@@ -8,8 +8,11 @@
 import dandelionpoint.protocol.fleet.LeaseCall
 import dandelionpoint.protocol.fleet.WorkerEntry
 
-/** A lease call that the controller has to send to [worker]. It passes the plan to [Cell.onReport] with the answer. */
-internal data class LeasePlan(val worker: WorkerEntry, val call: LeaseCall, val sentAt: Long)
+/**
+ * A lease call that the controller has to send to [worker], whose incarnation is known to have started at [incarnationMs] when the call is
+ * sent. It passes the plan to [Cell.onReport] with the answer.
+ */
+internal data class LeasePlan(val worker: WorkerEntry, val call: LeaseCall, val sentAt: Long, val incarnationMs: Long)
 
 /** Plans the lease calls under the fencing token [token]. Not thread-safe. Times are in ms on the VM's monotonic clock. */
 internal class LeasePlanner(private val token: Long, private val rules: FleetRules, private val areAnswersFast: () -> Boolean) {
@@ -42,7 +45,7 @@
 
             else -> return null
         }
-        return LeasePlan(worker.entry, call, now)
+        return LeasePlan(worker.entry, call, now, worker.startedAtMs)
     }
 
     /** End of the renewed lease on the worker's clock, or null if no renewal is allowed. */
@@ -71,5 +74,5 @@
 
     /** A poll of the run list that the worker answers at once. */
     fun poll(worker: TrackedWorker, now: Long): LeasePlan =
-        LeasePlan(worker.entry, LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs = 0), now)
+        LeasePlan(worker.entry, LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs = 0), now, worker.startedAtMs)
 }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -5,6 +5,7 @@
 package dandelionpoint.coordination.fleet
 
 import dandelionpoint.protocol.fleet.Demand
+import dandelionpoint.protocol.fleet.LeaseReport
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
@@ -212,11 +213,28 @@
     /** True while a run of [task] is, or may be, in progress on this worker. */
     fun hasTask(task: TaskRef): Boolean = task in runs || untrackedRuns.keys.any { it.task == task }
 
+    /** True if [listed], the worker's new entry in the list of workers, shows a later start than its run list. */
+    fun hasRestarted(listed: WorkerEntry): Boolean =
+        startedAtMs != 0L && listed.startedAtMs > startedAtMs && listed.startedAtMs != entry.startedAtMs
+
+    /**
+     * True if [report], the answer to the call of [plan], comes from an earlier incarnation. The call has then been sent before the present
+     * incarnation was known. A call that was sent later is answered by the present incarnation or a later one: a start time that is earlier
+     * than the known one shows that the known one was false.
+     */
+    fun isOutdated(plan: LeasePlan, report: LeaseReport): Boolean =
+        report.startedAtMs != 0L && report.startedAtMs < startedAtMs && plan.incarnationMs != startedAtMs
+
     /** Discards what is known from run lists: the worker gets no further runs before its run list has been read again. */
     fun forgetRunList() {
+        forgetEnds()
+        hasRunList = false
+    }
+
+    /** Discards the numbers of the ended runs, so that the next call acknowledges none and all listed ends count. */
+    fun forgetEnds() {
         handledEnd = 0
         acknowledgedEnd = 0
-        hasRunList = false
     }
 
     /** The worker has restarted at [startedAtMs]. The new incarnation numbers its ended runs from 1. */
