Count several short pauses of a process as one if no heartbeat is sent between

Cause: a pause is noticed from 290 ms on, at the next tick. Suspensions, which stop the timers, can come several times between two heartbeats: three of 230 ms in one interval of 150 to 170 ms are 840 ms without a heartbeat for the peers, which declare the VM lost after 700 ms and start its work elsewhere. The VM saw no pause and went on. A process that is stopped, whose clock goes on, sends its heartbeats after each pause, so that this needs a process that has no time for more than its tick in between.

Change: the VM knows when its last heartbeats were sent. At each question and tick, more than 650 ms since then (the peers' time-out less 50 ms for the delivery), by the clock that has counted more, is a pause after which the peers may have declared this VM lost. It is handled as such: jobs of peers and runs of others end, and work is refused for the recovery period.

Evidence: FleetVmPauseTest, two new cases over real connections (seven suspensions of 230 ms, 45 ms apart), and WorkAdmissionTest, four new cases (mvn -o -B -Dtest='FleetVmPauseTest,WorkAdmissionTest' test). With the time of the heartbeats taken out, both cases of the former fail (the run goes on) and three of the latter. They pass with it; so do FleetVmTest and OneRunPerTaskTest.

Not covered: the monotonic clock doesn't count a suspension, so that the age of other VMs' last heartbeats, from which leases are counted, is too low by the sum of suspensions that are each too short to be noticed.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/PauseDetector.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/PauseDetector.kt
@@ -8,6 +8,14 @@
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.millis
 
+/** The time since this object was made, in ms, by the clock that has counted more of it. */
+internal class ElapsedTime(private val clock: Clock) {
+    private val startMs = clock.millis()
+    private val startWallMs = clock.wallMs()
+
+    fun ms(): Long = maxOf(clock.millis() - startMs, clock.wallMs() - startWallMs)
+}
+
 /** A pause, which took at most [maxMs]. The monotonic clock has counted at most [monotonicMs] of it. */
 internal data class ProcessPause(val maxMs: Long, val monotonicMs: Long)
 
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -309,6 +309,8 @@
 
         override fun partners(): Set<VmIdentity> = runner.partners() + forwarder.dispatchers()
 
+        override fun sending() = admission.onHeartbeat()
+
         override fun isWaiting(vm: VmIdentity): Boolean = peers.liveness.heartbeat(vm)?.waitingJobs?.isNotEmpty() ?: false
     }
 
--- a/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
@@ -26,6 +26,9 @@
     /** Peers of other data centres that have runs or jobs of this VM in progress. */
     fun partners(): Set<VmIdentity>
 
+    /** The heartbeats that are due are now sent. */
+    fun sending() = Unit
+
     /** True if [vm] has reported jobs that wait for capacity. */
     fun isWaiting(vm: VmIdentity): Boolean
 }
@@ -70,6 +73,7 @@
     }
 
     private fun sendToAllDue(now: Long) {
+        source.sending()
         val (near, far) = network.connected().partition { it.dataCentre == dataCentre }
         send(near, isSameDataCentre = true)
         val farIntervalMs = (far.size * FAR_INTERVAL_PER_PEER_MS).coerceAtMost(MAX_FAR_INTERVAL_MS)
--- a/src/main/kotlin/dandelionpoint/fleet/WorkAdmission.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/WorkAdmission.kt
@@ -2,10 +2,12 @@
  * Decides whether this VM accepts work after a pause of its process. A VM starts work only if it knows that the sender still waits for it.
  * Requests that arrived during a pause lie in the sockets when the process resumes, and their senders may have given them up and sent the
  * job elsewhere. After a pause that is long enough for this, the VM refuses work for a recovery period, in which such requests are read,
- * and then closes the connections to its peers, so that what is still unread is discarded.
+ * and then closes the connections to its peers, so that what is still unread is discarded. Several pauses, each too short to be noticed,
+ * add up for the peers if no heartbeat is sent between them, so that a long time between two heartbeats counts as a pause too.
  */
 package dandelionpoint.fleet
 
+import dandelionpoint.coordination.fleet.ElapsedTime
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.PauseDetector
 import dandelionpoint.coordination.fleet.ProcessPause
@@ -38,16 +40,37 @@
     private var refusesClients = false
     private var acceptsSince = Long.MIN_VALUE
 
+    /** Time since the last heartbeats to the peers, null before the first ones. */
+    private var sinceHeartbeat: ElapsedTime? = null
+    private val silenceLimitMs = rules.peerUnresponsiveMs - DELIVERY_MS
+
+    /** Heartbeats are now sent to the peers. */
+    @Synchronized
+    fun onHeartbeat() {
+        check()
+        sinceHeartbeat = ElapsedTime(clock)
+    }
+
     /** Handles a pause that has not been handled yet. */
     @Synchronized
     fun check() {
-        val pause = detector.observe() ?: return
-        val isLost = pause.maxMs > peerLimitMs
-        if (isLost) recoveryEndsAt = clock.millis() + RECOVERY_MS
+        val silence = silence()
+        val pause = detector.observe() ?: silence ?: return
+        val isLost = pause.maxMs > peerLimitMs || silence != null
+        if (isLost) {
+            recoveryEndsAt = clock.millis() + RECOVERY_MS
+            sinceHeartbeat = null
+        }
         if (pause.maxMs > CLIENT_LIMIT_MS) refusesClients = true
         listener.paused(pause, isLost)
     }
 
+    /** The time without heartbeats to the peers, if it is so long that they may have declared this VM lost. */
+    private fun silence(): ProcessPause? {
+        val silentMs = sinceHeartbeat?.ms() ?: return null
+        return if (silentMs > silenceLimitMs) ProcessPause(silentMs, monotonicMs = 0) else null
+    }
+
     /** Handles a pause, and ends the recovery period when it is over. */
     @Synchronized
     fun tick() {
@@ -82,6 +105,9 @@
         /** Requests that arrived during a pause are read within this time after it, in ms. */
         const val RECOVERY_MS = 150L
 
+        /** Longest time that a heartbeat usually takes to its receiver, in ms. */
+        private const val DELIVERY_MS = 50L
+
         /** A client submits its job again this long after its connection broke or it got no answer, in ms. */
         private const val CLIENT_RETRY_DELAY_MS = 1_300L
 
--- a/src/test/kotlin/dandelionpoint/fleet/FleetVmPauseTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/FleetVmPauseTest.kt
@@ -127,6 +127,12 @@
     fun remoteRun(number: Int) =
         RemoteRunRequest(TaskRun(TaskRef(job(number).id, 0, 0), 1), "payload", fleet.queue.pool, Demand(1_000), LONG_RUN_MS)
 
+    /** Suspends the VM several times within one interval of its heartbeats, and lets it run for a little more than a tick after each. */
+    suspend fun pauseBriefly() = repeat(BRIEF_PAUSES) {
+        clock.suspendFor(BRIEF_PAUSE_MS)
+        delay(AFTER_BRIEF_PAUSE_MS)
+    }
+
     fun starts(number: Int) = fleet.workers.starts().filter { it.run.task.jobId == job(number).id }
 
     override fun close() {
@@ -142,6 +148,13 @@
         /** The same for the first remote run. */
         const val PEER_WARM_UP_ID = 2_000
         const val HEARTBEAT_MS = 50L
+
+        /** So many that at least three are between two heartbeats, which are up to 170 ms apart. */
+        const val BRIEF_PAUSES = 7
+
+        /** A single pause is noticed from 290 ms on. */
+        const val BRIEF_PAUSE_MS = 230L
+        const val AFTER_BRIEF_PAUSE_MS = 45L
     }
 }
 
@@ -218,6 +231,27 @@
             }
         }
 
+        // Guards against a VM that goes on with what its peers have taken for lost, because no single pause was long enough to be noticed.
+        describe("several pauses between two heartbeats, each too short to be noticed, that are together longer than the peers' time-out") {
+            it("end the jobs that peers have offered") {
+                onPausableVm {
+                    call(offer(1))
+                    eventually(2.seconds) { starts(1) shouldHaveSize 1 }
+                    pauseBriefly()
+                    eventually(1.seconds) { starts(1).all { it.endedAt != null }.shouldBeTrue() }
+                }
+            }
+
+            it("end the remote runs that peers have requested") {
+                onPausableVm {
+                    call(remoteRun(1))
+                    eventually(2.seconds) { starts(1) shouldHaveSize 1 }
+                    pauseBriefly()
+                    eventually(1.seconds) { starts(1).all { it.endedAt != null }.shouldBeTrue() }
+                }
+            }
+        }
+
         describe("a wall clock that is set forward") {
             it("does not end the remote runs that peers have requested, unlike a pause that was too short for their lease to expire") {
                 onPausableVm(runMs = 400) {
--- a/src/test/kotlin/dandelionpoint/fleet/WorkAdmissionTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/WorkAdmissionTest.kt
@@ -6,12 +6,16 @@
 import dandelionpoint.coordination.fleet.VirtualClock
 import dandelionpoint.protocol.fleet.JobOutcome
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 
 private const val TICK_MS = 40L
 
+/** A single pause is noticed from 290 ms on. */
+private const val BRIEF_PAUSE_MS = 240L
+
 /** Records what the VM is told to do. */
 private class RecordingListener : PauseListener {
     val lost = mutableListOf<Boolean>()
@@ -34,6 +38,11 @@
 
     fun pause(ms: Long) = clock.advance(ms)
 
+    /** The VM is suspended for [ms], which only the wall clock counts. */
+    fun suspend(ms: Long) {
+        clock.wallMs += ms
+    }
+
     /** The process runs for [ms]. */
     fun run(ms: Long) = repeat((ms / TICK_MS).toInt()) {
         clock.advance(TICK_MS)
@@ -73,6 +82,54 @@
             }
         }
 
+        // Guards against a VM that goes on with what its peers have taken for lost, because no single pause was long enough to be noticed.
+        describe("several pauses that are each too short to be noticed") {
+            it("count as one if together they are longer than the peers' time-out and no heartbeat was sent between them") {
+                val vm = PausedVm().apply { admission.onHeartbeat() }
+                repeat(2) {
+                    vm.pause(BRIEF_PAUSE_MS)
+                    vm.run(TICK_MS)
+                }
+                vm.admission.acceptsPeers() shouldBe true
+                vm.pause(BRIEF_PAUSE_MS)
+                vm.admission.acceptsPeers() shouldBe false
+                vm.listener.lost shouldBe listOf(true)
+            }
+
+            it("count as one also if the monotonic clock does not count them") {
+                val vm = PausedVm().apply { admission.onHeartbeat() }
+                repeat(3) {
+                    vm.suspend(BRIEF_PAUSE_MS)
+                    vm.run(TICK_MS)
+                }
+                vm.admission.acceptsPeers() shouldBe false
+                vm.listener.lost shouldBe listOf(true)
+            }
+
+            it("do not count if heartbeats were sent between them") {
+                val vm = PausedVm()
+                repeat(10) {
+                    vm.pause(BRIEF_PAUSE_MS)
+                    vm.admission.onHeartbeat()
+                    vm.run(TICK_MS)
+                }
+                vm.admission.acceptsPeers() shouldBe true
+                vm.listener.lost.shouldBeEmpty()
+            }
+
+            it("make the VM end its jobs once, and accept work again after the recovery period") {
+                val vm = PausedVm().apply { admission.onHeartbeat() }
+                repeat(3) {
+                    vm.pause(BRIEF_PAUSE_MS)
+                    vm.run(TICK_MS)
+                }
+                vm.run(WorkAdmission.RECOVERY_MS + 2 * TICK_MS)
+                vm.admission.acceptsPeers() shouldBe true
+                vm.listener.lost shouldBe listOf(true)
+                vm.listener.recoveries shouldBe 1
+            }
+        }
+
         describe("a pause after which the peers may have declared the VM lost") {
             it("makes the VM end its jobs and refuse those of peers, but not those of clients, which wait longer") {
                 val vm = PausedVm().apply { pause(540) }
