Limit what a VM does for data centres without VMs

Cause: a worker's registration may name any data centre. Its 64 cells are then claimed by the VMs of other data centres. Every 150 ms, one after the other in the claim loop, a VM tried up to three connections for each such data centre. With 24 of them and workers that don't answer (200 ms for a trial), the claims of its own data centre were not renewed for 5,251 ms (5,243 ms in a second run), and another VM may take over after 1,300 ms. With workers that answer it came to own 1,600 cells, each renewed twice a second, and tried a claim that the store refuses again at each step.

Change: UnservedDataCentres. A VM claims cells of at most four data centres without VMs: those where it owns cells, then those with the most workers. Trials run beside the claim loop, at most one at a time and one in two seconds for each data centre, and each successful one allows one claim.

Left: claims are not given up when the workers of such a data centre have gone, so that a VM that meets many odd ones in turn keeps the cells of all of them.

--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -77,6 +77,7 @@
     private val runner = JobRunner(scope, dispatch, peers.remote, network, Fleet(), clock)
     private val remoteRuns = RemoteRunServer({ cells.place(it) != null }, { cells.stopRun(it) }, clock)
     private val plan = CellPlan()
+    private val unserved = UnservedDataCentres(scope, { tables.workers() }, ports.canConnect, clock)
     private val claims = CellClaims(ports.store, Claims(), plan, rules, clock)
     private val ownership = JobOwnership(settings.dataCentre, OwnView(), peers.directory, peers.formers)
     private val admission = WorkAdmission(PauseDetector(clock, TICK_MS), Pauses(), clock, rules)
@@ -158,12 +159,12 @@
 
     private fun VmIdentity.asCandidate() = Candidate(name, dataCentre, cpuMilli)
 
-    /** This VM's data centre, those of its cells, and those that have workers but no live VM. */
+    /** This VM's data centre, those of its cells, and some of those that have workers but no live VM. */
     private fun claimableDataCentres(): Set<String> {
         val withVm = peers.liveness.live().mapTo(HashSet()) { it.vm.dataCentre }
-        val withWorkers = cells.workerCounts.keys.mapTo(HashSet()) { Cells.dataCentreOf(it) }
+        val withWorkers = cells.workerCounts.entries.groupBy({ Cells.dataCentreOf(it.key) }, { it.value }).mapValues { it.value.sum() }
         val owned = cells.owned().mapTo(HashSet()) { Cells.dataCentreOf(it.cell.name) }
-        return (withWorkers - withVm) + owned + settings.dataCentre
+        return unserved.claimable(withWorkers - withVm - settings.dataCentre, owned) + owned + settings.dataCentre
     }
 
     // Client requests
@@ -266,8 +267,7 @@
 
         override fun peerOwner(cell: String): CellOwner? = peers.directory.owner(cell)
 
-        override suspend fun canReach(dataCentre: String): Boolean =
-            tables.workers().filter { it.dataCentre == dataCentre }.take(REACHABILITY_SAMPLES).any { ports.canConnect(it) }
+        override suspend fun canReach(dataCentre: String): Boolean = unserved.hasJustReached(dataCentre)
 
         override fun gained(cell: String, token: Long, formerOwner: VmIdentity?) {
             val former = formerOwner?.takeIf { peers.liveness.isLive(it) }
@@ -387,9 +387,6 @@
         const val TICK_MS = 40L
         const val PULL_TIMEOUT_MS = 1_000L
 
-        /** Number of workers of a data centre to which a connection is tried, to find out if it can be reached. */
-        const val REACHABILITY_SAMPLES = 3
-
         /** The load balancer stops sending new connections here within this time after the readiness check fails, in ms. */
         const val LOAD_BALANCER_DELAY_MS = 2_600L
 
--- a/src/main/kotlin/dandelionpoint/standin/fleet/InProcessFleet.kt
+++ b/src/main/kotlin/dandelionpoint/standin/fleet/InProcessFleet.kt
@@ -14,12 +14,16 @@
 import dandelionpoint.settings.FleetSettings
 import dandelionpoint.settings.HostAndPort
 
-/** A small fleet with [workersPerDataCentre] workers in each of [dataCentres]. [workers] and [store] are the stand-ins. */
+/**
+ * A small fleet with [workersPerDataCentre] workers in each of [dataCentres]. [workers] and [store] are the stand-ins, and [canConnect]
+ * tells which workers accept connections.
+ */
 internal class InProcessFleet(
     private val dataCentres: List<String> = listOf("akl-a", "ham-a"),
     private val workersPerDataCentre: Int = 3,
     val workers: MemoryWorkers = MemoryWorkers(),
     val store: MemoryRows = MemoryRows(),
+    private val canConnect: suspend (WorkerEntry) -> Boolean = { true },
 ) {
     /** Queue of all jobs of this fleet. */
     val queue = JobQueue(name = "lookups", pool = POOL, maxAttempts = 2, stretch = 2.0, latencyTargetMs = 400)
@@ -63,7 +67,7 @@
             seedPeers = emptyList(),
             store = HostAndPort(LOOPBACK, 1),
         )
-        return FleetVm(settings, FleetPorts(store, tables, documents, workers, canConnect = { true }), clock)
+        return FleetVm(settings, FleetPorts(store, tables, documents, workers, canConnect), clock)
     }
 
     /** Writes a row that marks the worker [id] as draining. */
