--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -78,6 +78,7 @@
     private val runner = JobRunner(scope, dispatch, peers.remote, network, Fleet(), clock)
     private val remoteRuns = RemoteRunServer({ cells.place(it) != null }, { cells.stopRun(it) }, clock)
     private val plan = CellPlan()
+    private val unserved = UnservedDataCentres(scope, { tables.workers() }, ports.canConnect, clock)
     private val claims = CellClaims(ports.store, Claims(), plan, rules, clock)
     private val ownership = JobOwnership(settings.dataCentre, OwnView(), peers.directory, peers.formers)
     private val admission = WorkAdmission(PauseDetector(clock, TICK_MS), Pauses(), clock, rules)
@@ -172,11 +173,12 @@
 
     private fun VmIdentity.asCandidate() = Candidate(name, dataCentre, cpuMilli)
 
-    /** This VM's data centre, those of its cells, and those that have workers but no live VM. */
+    /** This VM's data centre, those of its cells, and some of those that have workers but no live VM. */
     private fun claimableDataCentres(): Set<String> {
         val withVm = peers.liveness.live().mapTo(HashSet()) { it.vm.dataCentre }
+        val withWorkers = cells.workerCounts.mapValues { (_, byCell) -> byCell.values.sum() }
         val owned = cells.owned().mapTo(HashSet()) { Cells.dataCentreOf(it.cell.name) }
-        return (cells.workerCounts.keys - withVm) + owned + settings.dataCentre
+        return unserved.claimable(withWorkers - withVm - settings.dataCentre, owned) + owned + settings.dataCentre
     }
 
     // Client requests
@@ -284,8 +286,7 @@
 
         override fun peerOwner(cell: String): CellOwner? = peers.directory.owner(cell)
 
-        override suspend fun canReach(dataCentre: String): Boolean =
-            tables.workers().filter { it.dataCentre == dataCentre }.take(REACHABILITY_SAMPLES).any { ports.canConnect(it) }
+        override suspend fun canReach(dataCentre: String): Boolean = unserved.hasJustReached(dataCentre)
 
         override fun gained(cell: String, token: Long, formerOwner: VmIdentity?) {
             val former = formerOwner?.takeIf { peers.liveness.isLive(it) }
@@ -331,6 +332,8 @@
 
         override fun partners(): Set<VmIdentity> = runner.partners() + forwarder.dispatchers()
 
+        override fun sending() = admission.onHeartbeat()
+
         override fun isWaiting(vm: VmIdentity): Boolean = peers.liveness.heartbeat(vm)?.waitingJobs?.isNotEmpty() ?: false
     }
 
@@ -427,9 +430,6 @@
         const val TICK_MS = 40L
         const val PULL_TIMEOUT_MS = 1_000L
 
-        /** Number of workers of a data centre to which a connection is tried, to find out if it can be reached. */
-        const val REACHABILITY_SAMPLES = 3
-
         /** The load balancer stops sending new connections here within this time after the readiness check fails, in ms. */
         const val LOAD_BALANCER_DELAY_MS = 2_600L
 
--- a/src/main/kotlin/dandelionpoint/standin/fleet/InProcessFleet.kt
+++ b/src/main/kotlin/dandelionpoint/standin/fleet/InProcessFleet.kt
@@ -16,12 +16,16 @@
 import kotlinx.coroutines.Dispatchers
 import kotlin.coroutines.CoroutineContext
 
-/** A small fleet with [workersPerDataCentre] workers in each of [dataCentres]. [workers] and [store] are the stand-ins. */
+/**
+ * A small fleet with [workersPerDataCentre] workers in each of [dataCentres]. [workers] and [store] are the stand-ins, and [canConnect]
+ * tells which workers accept connections.
+ */
 internal class InProcessFleet(
     private val dataCentres: List<String> = listOf("akl-a", "ham-a"),
     private val workersPerDataCentre: Int = 3,
     val workers: MemoryWorkers = MemoryWorkers(),
     val store: MemoryRows = MemoryRows(),
+    private val canConnect: suspend (WorkerEntry) -> Boolean = { true },
 ) {
     /** Queue of all jobs of this fleet. */
     val queue = JobQueue(name = "lookups", pool = POOL, maxAttempts = 2, stretch = 2.0, latencyTargetMs = 400)
@@ -70,7 +74,7 @@
 
     /** Creates an entry VM with [settings], whose loops run in [context], without starting it. [clock] is that of the VM alone. */
     fun vm(settings: FleetSettings, clock: Clock = Clock.System, context: CoroutineContext = Dispatchers.Default): FleetVm =
-        FleetVm(settings, FleetPorts(store, tables, documents, workers, canConnect = { true }), clock, context = context)
+        FleetVm(settings, FleetPorts(store, tables, documents, workers, canConnect), clock, context = context)
 
     /** Writes a row that marks the worker [id] as draining. */
     fun drainWorker(id: String) = store.put(tables.workers, id, DRAINING.encodeToByteArray())
