Wake a VM's thread less often: one timer, and no wake-ups for capacity that nobody waits for

A VM at rest had five timers (tick, claims, heartbeats with a pause after each, look at the clients' connections), about 49 wake-ups a second. Each end of a run woke the heartbeat sender, which searched the peers for waiting ones, and started a scheduling pass over all jobs.

Change: claims and the look at clients' connections are done in the tick, every 150 and 100 ms as before; the tick is every 50 ms instead of 40. A heartbeat that was due is not followed by a pause. Free capacity wakes the sender only if a peer has waiting jobs, and the scheduler only if a task waits; the end of a run that lets another task begin counts as such.

--- a/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
@@ -60,12 +60,7 @@
         val clients = PlatformClients(vm, vm.scope, settings.clients.listen(), settings.readiness?.listen())
         runBlocking { vm.start() }
         clients.start()
-        vm.scope.launch {
-            while (true) {
-                delay(CLIENT_POLL_INTERVAL_MS)
-                clients.poll()
-            }
-        }
+        vm.pollClients = clients::poll
         // SIGHUP requests a reload of the settings. Without a handler it would end the JVM.
         val isReloadRequested = AtomicBoolean()
         Signal.handle(Signal("HUP")) { isReloadRequested.set(true) }
@@ -116,7 +111,6 @@
     companion object {
         const val NAME = "fleet"
         private const val SETTINGS_VARIABLE = "DANDELIONPOINT_SETTINGS"
-        private const val CLIENT_POLL_INTERVAL_MS = 100L
         private const val SETTINGS_POLL_INTERVAL_MS = 1_000L
 
         /** How long a planned stop waits for requests that arrive while it ends, in ms. */
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -69,7 +69,7 @@
     private val stopping = StoppingRuns()
     private var lastDispatch = 0L
 
-    /** True if a task was waiting, for capacity or for another reason, at the end of the last scheduling pass. */
+    /** True if a task was waiting, for capacity or for another reason, at the end of the last scheduling pass, or has begun to since. */
     @Volatile
     var hasWaitingTasks = false
         private set
@@ -169,6 +169,7 @@
         val job = jobs[key.run.task.jobId]?.takeIf { it.dispatch == key.dispatch } ?: return@synchronized emptyList()
         val task = job.task(key.run.task)?.takeIf { it.run == key.run.run && it.location != null } ?: return@synchronized emptyList()
         recordEnd(task, end, avoid, now)
+        hasWaitingTasks = hasWaitingTasks || job.hasWaitingTasks
         when {
             job.isDone -> finish(job, JobOutcome.Completed, now)
             task.failures >= job.queue.maxAttempts -> finish(job, JobOutcome.Failed, now)
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/PeerLiveness.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/PeerLiveness.kt
@@ -97,6 +97,9 @@
 
     fun isLive(vm: VmIdentity): Boolean = synchronized(lock) { vm.incarnation in peers }
 
+    /** True if a live peer has jobs that wait for capacity. */
+    fun isAnyWaiting(): Boolean = synchronized(lock) { peers.values.any { it.heartbeat.waitingJobs.isNotEmpty() } }
+
     /** The last heartbeat from [vm], null if it is lost or unknown. */
     fun heartbeat(vm: VmIdentity): FleetHeartbeat? = synchronized(lock) { peers[vm.incarnation]?.heartbeat }
 
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -47,6 +47,7 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import java.util.UUID
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.coroutines.CoroutineContext
 import kotlin.random.Random
 
@@ -92,6 +93,13 @@
         clock,
     )
 
+    private val claimGuard = LoopGuard("claims")
+    private val isClaiming = AtomicBoolean()
+
+    /** Looks for clients that have disconnected; called every [TICK_MS] times [CLIENT_POLL_TICKS]. */
+    @Volatile
+    var pollClients: () -> Unit = {}
+
     @Volatile
     override var isStopping = false
         private set
@@ -132,7 +140,6 @@
         settings.seedPeers.forEach { network.connect(PeerAddress(it.host, it.port)) }
         runner.start()
         tables.start(scope, self)
-        scope.launch { claimLoop() }
         scope.launch { heartbeats.run() }
         scope.launch { tickLoop() }
         log.info { "event=started vm=${self.name} incarnation=$incarnation" }
@@ -154,12 +161,13 @@
         return differing.filterValues { it }.keys.toList()
     }
 
-    private suspend fun claimLoop() {
-        val guard = LoopGuard("claims")
-        while (scope.isActive) {
-            guard.attempt("plan") { updatePlan() }
-            guard.attempt("claim") { claims.step() }
-            delay(CLAIM_STEP_MS)
+    /** Makes one step of the claims, unless the one before is still waiting for the store. */
+    private fun startClaimStep() {
+        if (!isClaiming.compareAndSet(false, true)) return
+        scope.launch {
+            claimGuard.attempt("plan") { updatePlan() }
+            claimGuard.attempt("claim") { claims.step() }
+            isClaiming.set(false)
         }
     }
 
@@ -265,7 +273,7 @@
                 log.info { "event=run_ended ${order.run.logFields()} origin=${order.origin} end=$end worker=$workerId" }
             }
             if (order.origin == incarnation) runner.ended(order.key, end, workerId) else remoteRuns.ended(order.key, end)
-            runner.wake()
+            runner.onCapacity()
             heartbeats.announceCapacity()
         }
 
@@ -334,6 +342,8 @@
 
         override fun sending() = admission.onHeartbeat()
 
+        override fun isAnyWaiting(): Boolean = peers.liveness.isAnyWaiting()
+
         override fun isWaiting(vm: VmIdentity): Boolean = peers.liveness.heartbeat(vm)?.waitingJobs?.isNotEmpty() ?: false
     }
 
@@ -341,7 +351,7 @@
         applyCancellations(from, heartbeat)
         claims.ownerHeard(from)
         peers.onHeartbeat(from, heartbeat, clock.millis())
-        runner.onRemoteCapacity()
+        runner.onCapacity()
         if (heartbeat.configVersion > tables.configurationVersion) scope.launch { pullConfiguration(from) }
     }
 
@@ -372,7 +382,10 @@
 
     private suspend fun tickLoop() {
         val guard = LoopGuard("tick")
+        var ticks = 0
         while (scope.isActive) {
+            if (ticks % CLAIM_TICKS == 0) startClaimStep()
+            if (ticks++ % CLIENT_POLL_TICKS == 0) guard.attempt("clients") { pollClients() }
             guard.attempt("admission") { admission.tick() }
             guard.attempt("peers") { peers.liveness.removeLost(clock.millis()).forEach { peerLost(it) } }
             guard.attempt("cells") { cells.tick() }
@@ -426,8 +439,15 @@
 
     private companion object {
         const val CLUSTER = "fleet"
-        const val CLAIM_STEP_MS = 150L
-        const val TICK_MS = 40L
+
+        /** Interval of the tick loop, in ms. All periodic work of a VM is done in it, since each timer of its own wakes the VM's thread. */
+        const val TICK_MS = 50L
+
+        /** Ticks from one step of the claims to the next. */
+        const val CLAIM_TICKS = 3
+
+        /** Ticks between two looks at the clients' connections. */
+        const val CLIENT_POLL_TICKS = 2
         const val PULL_TIMEOUT_MS = 1_000L
 
         /** The load balancer stops sending new connections here within this time after the readiness check fails, in ms. */
--- a/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
@@ -31,6 +31,9 @@
 
     /** True if [vm] has reported jobs that wait for capacity. */
     fun isWaiting(vm: VmIdentity): Boolean
+
+    /** True if any peer has. */
+    fun isAnyWaiting(): Boolean
 }
 
 /** Sends the heartbeats of a VM in [dataCentre]. */
@@ -52,7 +55,7 @@
 
     /** Capacity has become free: sends a heartbeat to the peers that wait for it. */
     fun announceCapacity() {
-        due.trySend(Unit)
+        if (source.isAnyWaiting()) due.trySend(Unit)
     }
 
     /** Sends heartbeats until cancelled. */
@@ -68,7 +71,7 @@
             } else {
                 guard.attempt("announce") { sendToWaiting() }
             }
-            delay(MIN_INTERVAL_MS)
+            if (!isDue) delay(MIN_INTERVAL_MS)
         }
     }
 
@@ -108,7 +111,7 @@
         /** The most peers that are told at once of free capacity. */
         private const val MAX_WAITING_RECEIVERS = 8
 
-        /** Shortest time between two heartbeats, in ms. */
+        /** Shortest time between two heartbeats that do not wait for the interval, in ms. */
         private const val MIN_INTERVAL_MS = 20L
 
         /** Longest time between two heartbeats to a peer of the data centre, in ms. */
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -197,7 +197,7 @@
      */
     fun ended(key: RunKey, end: RunEnd, avoid: String?) {
         handle(dispatch.onRunEnd(key, end, avoid, clock.millis()))
-        wake()
+        onCapacity()
     }
 
     /** The client of [attempt] has disconnected or cancelled it. */
@@ -212,8 +212,8 @@
     /** Ends all jobs, because this process was paused for so long that its peers have declared the VM lost. */
     fun onProcessPause(pauseMs: Long) = handle(dispatch.cancelAll("the VM process was paused for $pauseMs ms", clock.millis()))
 
-    /** The free capacity of another VM is known anew: makes the loop try to place waiting tasks. */
-    fun onRemoteCapacity() {
+    /** Capacity may have become free, here or at another VM: makes the loop try to place waiting tasks. */
+    fun onCapacity() {
         if (dispatch.hasWaitingTasks) wake()
     }
 
--- a/src/test/kotlin/dandelionpoint/fleet/HeartbeatSenderTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/HeartbeatSenderTest.kt
@@ -56,6 +56,8 @@
     override fun partners() = setOf(PARTNER)
 
     override fun isWaiting(vm: VmIdentity) = vm in waiting
+
+    override fun isAnyWaiting() = waiting.isNotEmpty()
 }
 
 /**
