Do not parse the media type of responses

Cause: OkHttp asks each response's body for its media type, which it parses with regular expressions, when it strips the body from a copy of the response. No caller of HttpChannel reads the type.

Change: the network interceptor replaces the body by one without a type.

Tried and taken back: removing the header of the response.

Tests: HttpWorkerClientTest, PlatformWorkersTest, PlatformClientsTest pass.

--- a/src/main/kotlin/dandelionpoint/transport/http/StaleConnectionCheck.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/StaleConnectionCheck.kt
@@ -6,7 +6,10 @@
 package dandelionpoint.transport.http
 
 import okhttp3.Interceptor
+import okhttp3.MediaType
 import okhttp3.Response
+import okhttp3.ResponseBody
+import okio.BufferedSource
 import java.io.IOException
 import java.net.InetAddress
 import java.net.InetSocketAddress
@@ -19,7 +22,19 @@
 /** Thrown if the server closed the connection while it was idle; no byte of the request was written. */
 internal class StaleConnectionException : IOException("the server closed the idle connection")
 
-/** A network interceptor that closes a stale connection and throws [StaleConnectionException]. */
+/**
+ * A response body without a media type. OkHttp would parse the type of each response with regular expressions, and no caller of
+ * [HttpChannel] reads it.
+ */
+private class UntypedBody(private val body: ResponseBody) : ResponseBody() {
+    override fun contentType(): MediaType? = null
+
+    override fun contentLength(): Long = body.contentLength()
+
+    override fun source(): BufferedSource = body.source()
+}
+
+/** A network interceptor that closes a stale connection and throws [StaleConnectionException]. It leaves out the type of responses. */
 internal object StaleConnectionCheck : Interceptor {
     override fun intercept(chain: Interceptor.Chain): Response {
         val socket = checkNotNull(chain.connection()).socket()
@@ -27,7 +42,8 @@
             socket.close()
             throw StaleConnectionException()
         }
-        return chain.proceed(chain.request())
+        val response = chain.proceed(chain.request())
+        return response.newBuilder().body(UntypedBody(response.body)).build()
     }
 
     /** True if the stream has ended or bytes arrived without a request. Does not block; costs three system calls. */
