Acknowledge the ends of runs with the call for the next run, up to 1 s later

Cause: after the last run of a worker a call only acknowledged its end, 250 ms later. On a loaded site the next run often starts within a second, and its call can carry the acknowledgement. Each look at a worker is priced and costs processor time on both sides.

Change: an acknowledgement waits for up to 1 s. The platform's bound (ack_ms) is 4 s or more. No end is seen later: that is the worker's answer, not the acknowledgement.

Evidence: CellControllerTest, ten runs in turn with pauses of 600 ms are ten lease calls; an end without a further run is acknowledged within 1.1 s.

--- a/src/main/kotlin/dandelionpoint/fleet/CellController.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellController.kt
@@ -252,7 +252,7 @@
         const val IDLE_CHECK_MS = 2_000L
 
         /** How long an acknowledgement is delayed so that it can be sent with the call for the next run, in ms. */
-        const val ACKNOWLEDGE_MS = 250L
+        const val ACKNOWLEDGE_MS = 1_000L
 
         /** Pause after a lease call that the worker was to answer at once, in ms. */
         const val IMMEDIATE_CALL_PAUSE_MS = 20L
--- a/src/test/kotlin/dandelionpoint/fleet/CellControllerTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/CellControllerTest.kt
@@ -35,6 +35,12 @@
 /** Time by which the worker's first list of runs has arrived, in ms. */
 private const val LIST_MS = 20L
 
+private const val RUNS_IN_TURN = 10
+private const val PAUSE_BETWEEN_RUNS_MS = 600L
+
+/** A fraction of the platform's bound for acknowledgements (`ack_ms`, 4 s). */
+private const val ACKNOWLEDGED_WITHIN_MS = 1_100L
+
 /** Longest wait for the end of a run, in ms. */
 private const val LIMIT_MS = 5_000L
 
@@ -48,6 +54,12 @@
     var startHopMs = HOP_MS
     var stops = 0
         private set
+    var leaseCalls = 0
+        private set
+
+    /** Number of the last end that a call has acknowledged. */
+    var acknowledgedEnd = 0L
+        private set
     private val endsAt = LinkedHashMap<TaskRun, Long>()
     private val stopped = mutableSetOf<TaskRun>()
 
@@ -81,11 +93,13 @@
     }
 
     override suspend fun lease(worker: WorkerEntry, call: LeaseCall, timeoutMs: Long): LeaseOutcome {
+        leaseCalls++
         if (call.waitMs > 0 && waitsToLose-- > 0) {
             delay(timeoutMs)
             return LeaseOutcome.NoAnswer("lost")
         }
         delay(HOP_MS)
+        acknowledgedEnd = maxOf(acknowledgedEnd, call.seenEnd)
         val until = clock.millis() + call.waitMs
         while (clock.millis() < until && ended().none { it.number > call.seenEnd }) delay(1)
         val report = LeaseReport(workerMs(), 1, running(), ended().filter { it.number > call.seenEnd })
@@ -163,6 +177,28 @@
             }
         }
 
+        // Guards against calls that only acknowledge an end, where the next call for a run could do so.
+        describe("the end of a run") {
+            it("is acknowledged with the call for the next run, if that starts soon") {
+                withController(runMs = 60) {
+                    val before = port.leaseCalls
+                    repeat(RUNS_IN_TURN) {
+                        run(order(job = "turn-$it")).first shouldBe RunEnd.DONE
+                        delay(PAUSE_BETWEEN_RUNS_MS)
+                    }
+                    port.leaseCalls - before shouldBe RUNS_IN_TURN
+                }
+            }
+
+            it("is acknowledged soon if no run follows") {
+                withController(runMs = 60) {
+                    run(order()).first shouldBe RunEnd.DONE
+                    delay(ACKNOWLEDGED_WITHIN_MS)
+                    port.acknowledgedEnd shouldBe 1
+                }
+            }
+        }
+
         describe("an order that is delayed, not lost") {
             it("is not taken for lost by a controller that has just started, which would send every slow start twice") {
                 withController(runMs = 60) {
