Move the claims' rows, ended owners and the comparison of settings out of the large classes

CellClaims held the encoding of rows, the store's silence and the ended owners beside its decisions. ClaimTable has the rows and EndedOwners the rule; FleetSettings compares settings itself. No behaviour changes. CellClaimsTest, OneRunPerTaskTest, FleetVmTest, LoopGuardTest, FleetTablesTest and UnservedDataCentresTest pass.

--- a/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
@@ -4,25 +4,19 @@
  */
 package dandelionpoint.fleet
 
-import arrow.core.Either
 import dandelionpoint.coordination.fleet.CellClaim
 import dandelionpoint.coordination.fleet.CellOwner
 import dandelionpoint.coordination.fleet.CellPlan
 import dandelionpoint.coordination.fleet.Cells
 import dandelionpoint.coordination.fleet.ClaimRules
+import dandelionpoint.coordination.fleet.EndedOwners
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.ProcessPause
 import dandelionpoint.protocol.Clock
-import dandelionpoint.protocol.fleet.RowWrite
-import dandelionpoint.protocol.fleet.RowsRead
-import dandelionpoint.protocol.fleet.SharedRow
 import dandelionpoint.protocol.fleet.SharedRows
-import dandelionpoint.protocol.fleet.WriteResult
 import dandelionpoint.protocol.millis
 import dandelionpoint.protocol.peer.VmIdentity
-import dandelionpoint.protocol.store.StoreError
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.serialization.json.Json
 import java.util.concurrent.ConcurrentHashMap
 
 private val log = KotlinLogging.logger {}
@@ -56,7 +50,7 @@
 
 /** The claims of this VM in the store. [step] is called at a fixed interval, from one coroutine. All times are in ms. */
 internal class CellClaims(
-    private val store: SharedRows,
+    store: SharedRows,
     private val host: ClaimHost,
     private val plan: CellPlan,
     private val rules: FleetRules,
@@ -83,21 +77,16 @@
         }
     }
 
+    private val table = ClaimTable(store, clock)
     private val claims = ConcurrentHashMap<String, OwnClaim>()
     private val orphanedSince = ConcurrentHashMap<String, Long>()
     private val handoverRequests = ConcurrentHashMap<String, VmIdentity>()
-
-    /** When the processes of former owners were found to have ended, by their incarnations. */
-    private val endedOwners = ConcurrentHashMap<String, Long>()
+    private val endedOwners = EndedOwners()
     private var hasReclaimed = false
 
     @Volatile
     private var renewedAt = NEVER
 
-    /** When the store last answered a call. */
-    @Volatile
-    private var answeredAt = clock.millis()
-
     /** Pauses of this process that were long enough for another VM to take over its cells. */
     @Volatile
     private var pauses = 0
@@ -109,15 +98,13 @@
 
     /** The process of [vm], which owned [cells], has ended: its claims need not become stale before the cells are claimed. */
     fun ownerEnded(vm: VmIdentity, cells: Set<String>) {
-        val now = clock.millis()
-        endedOwners.values.removeIf { now - it > ENDED_KEPT_MS }
-        endedOwners[vm.incarnation] = now
+        endedOwners.add(vm, clock.millis())
         cells.forEach { orphanedSince[it] = NEVER }
     }
 
     /** [vm] is alive: what seemed to show the end of its process did not. */
     fun ownerHeard(vm: VmIdentity) {
-        endedOwners.remove(vm.incarnation)
+        endedOwners.remove(vm)
     }
 
     /**
@@ -139,7 +126,7 @@
     fun isUnclaimable(cell: String): Boolean {
         val now = clock.millis()
         val since = orphanedSince[cell] ?: return false
-        return now - answeredAt > STORE_SILENT_MS && now - since > rules.claimStaleMs
+        return table.isSilent() && now - since > rules.claimStaleMs
     }
 
     /** A worker has refused a token of this VM: makes the next step renew the claims, which shows whether they are still valid. */
@@ -163,8 +150,8 @@
 
     /** Claims the cells that an earlier incarnation of this VM owned. It has ended, so its claims need not become stale first. */
     private suspend fun reclaim(): Boolean {
-        val rows = readRows(Cells.of(host.self.dataCentre)) ?: return false
-        val own = rows.rows.filter { row -> decode(row)?.let { it.vm.name == host.self.name && !it.isReleased } == true }
+        val rows = table.read(Cells.of(host.self.dataCentre)) ?: return false
+        val own = rows.rows.filter { row -> table.claimIn(row)?.let { it.vm.name == host.self.name && !it.isReleased } == true }
         claim(own.associate { it.key to null })
         return true
     }
@@ -187,9 +174,9 @@
     private suspend fun renew(batch: List<OwnClaim>, now: Long) {
         val pausesBefore = pauses
         val writes = batch.map { own ->
-            RowWrite(own.cell, encode(CellClaim(host.self, own.token, now + own.storeClockOffsetMs)), own.version)
+            table.rowOf(own.cell, CellClaim(host.self, own.token, now + own.storeClockOffsetMs), expected = own.version)
         }
-        val written = answer(store.writeAll(TABLE, writes)) as? WriteResult.Written ?: return reread(batch)
+        val written = table.write(writes) ?: return reread(batch)
         batch.forEach { own ->
             own.version = written.version
             own.storeClockOffsetMs = written.storeMs - clock.millis()
@@ -201,11 +188,11 @@
     private suspend fun reread(batch: List<OwnClaim>) = batch.groupBy { Cells.dataCentreOf(it.cell) }.values.forEach { claims ->
         val pausesBefore = pauses
         val sentAt = clock.millis()
-        val read = readRows(claims.map { it.cell }) ?: return@forEach
+        val read = table.read(claims.map { it.cell }) ?: return@forEach
         val rows = read.rows.associateBy { it.key }
         claims.forEach { own ->
             val row = rows[own.cell]
-            val claim = row?.let { decode(it) }
+            val claim = row?.let { table.claimIn(it) }
             if (row != null && claim?.vm == host.self) {
                 own.version = row.version
                 own.storeClockOffsetMs = read.storeMs - clock.millis()
@@ -258,28 +245,22 @@
 
     private suspend fun claimBatch(wanted: Map<String, VmIdentity?>) {
         val pausesBefore = pauses
-        val read = readRows(wanted.keys) ?: return
+        val read = table.read(wanted.keys) ?: return
         val rows = read.rows.associateBy { it.key }
-        val current = rows.mapValues { decode(it.value) }
+        val current = rows.mapValues { table.claimIn(it.value) }
         val (claimed, others) = wanted.keys.partition { current[it].let { claim -> claim?.vm == host.self && claim.token == 0L } }
         claimed.forEach { gained(OwnClaim(it, rows.getValue(it).version, read.storeMs, pausesBefore), wanted[it]) }
         val free = others.filter { isFree(current[it], wanted[it], read.storeMs) }
         if (free.isEmpty()) return
-        val claim = encode(CellClaim(host.self, token = 0, renewedAtStoreMs = read.storeMs))
-        val writes = free.map { RowWrite(it, claim, expected = rows[it]?.version ?: 0L) }
-        val written = answer(store.writeAll(TABLE, writes)) as? WriteResult.Written ?: return
+        val claim = CellClaim(host.self, token = 0, renewedAtStoreMs = read.storeMs)
+        val writes = free.map { table.rowOf(it, claim, expected = rows[it]?.version ?: 0L) }
+        val written = table.write(writes) ?: return
         free.forEach { gained(OwnClaim(it, written.version, written.storeMs, pausesBefore), wanted[it]) }
     }
 
     private fun isFree(current: CellClaim?, from: VmIdentity?, storeMs: Long): Boolean =
-        current == null || current.vm.name == host.self.name || current.vm == from || hasEnded(current, storeMs) ||
-            ClaimRules.isStale(current, storeMs, rules)
-
-    /** True if the owner's process was found to have ended, and has not renewed [claim] since then. */
-    private fun hasEnded(claim: CellClaim, storeMs: Long): Boolean {
-        val foundAt = endedOwners[claim.vm.incarnation] ?: return false
-        return storeMs - claim.renewedAtStoreMs >= clock.millis() - foundAt
-    }
+        current == null || current.vm.name == host.self.name || current.vm == from ||
+            endedOwners.includeOwnerOf(current, storeMs, clock.millis()) || ClaimRules.isStale(current, storeMs, rules)
 
     private fun gained(claim: OwnClaim, from: VmIdentity?) {
         claims[claim.cell] = claim
@@ -288,22 +269,7 @@
         host.gained(claim.cell, claim.token, from)
     }
 
-    /** Reads the rows from the first to the last of [cells] of one data centre, others between them included. */
-    private suspend fun readRows(cells: Collection<String>): RowsRead? =
-        answer(store.read(TABLE, from = cells.min(), to = cells.max() + "\u0000"))
-
-    /** The store's answer to a call, null if there was none. */
-    private fun <T : Any> answer(result: Either<StoreError, T>): T? = (result as? Either.Right)?.value?.also { answeredAt = clock.millis() }
-
-    private fun encode(claim: CellClaim) = JSON.encodeToString(CellClaim.serializer(), claim).encodeToByteArray()
-
-    private fun decode(row: SharedRow): CellClaim? =
-        row.value?.let { runCatching { JSON.decodeFromString(CellClaim.serializer(), it.decodeToString()) }.getOrNull() }
-
     companion object {
-        /** Table with a row for each cell. */
-        const val TABLE = "cells"
-
         /** Interval at which claims are renewed, in ms. */
         private const val RENEW_MS = 500L
 
@@ -322,14 +288,7 @@
         /** A claim that is lost within this time after the cell was offered was handed over, in ms. */
         private const val HANDOVER_MS = 3_000L
 
-        /** The store counts as out after this long without an answer, in ms; a VM with claims calls it twice a second. */
-        private const val STORE_SILENT_MS = 1_500L
-
-        /** How long it is remembered that an owner's process has ended, in ms: longer than its cells take to be claimed. */
-        private const val ENDED_KEPT_MS = 60_000L
-
         /** A time before any other. */
         private const val NEVER = Long.MIN_VALUE / 2
-        private val JSON = Json { ignoreUnknownKeys = true }
     }
 }
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -148,17 +148,7 @@
     /** Applies settings changed at run time: connects to new seed peers. Returns the names of changed settings that need a restart. */
     fun reload(changed: FleetSettings): List<String> {
         changed.seedPeers.forEach { network.connect(PeerAddress(it.host, it.port)) }
-        val differing = mapOf(
-            "name" to (changed.name != settings.name),
-            "dataCentre" to (changed.dataCentre != settings.dataCentre),
-            "clients" to (changed.clients != settings.clients),
-            "peers" to (changed.peers != settings.peers),
-            "store" to (changed.store != settings.store),
-            "leaseMs" to (changed.leaseMs != settings.leaseMs),
-            "cpuShare" to (changed.cpuShare != settings.cpuShare),
-            "cores" to (changed.cores != settings.cores),
-        )
-        return differing.filterValues { it }.keys.toList()
+        return settings.fixedSettingsChangedIn(changed)
     }
 
     /** Makes one step of the claims, unless the one before is still waiting for the store. */
--- a/src/main/kotlin/dandelionpoint/settings/FleetSettings.kt
+++ b/src/main/kotlin/dandelionpoint/settings/FleetSettings.kt
@@ -36,6 +36,18 @@
     /** Processor share of this VM in thousandths of a core: work is spread over the VMs in proportion to it. */
     val cpuMilli: Int get() = (cpuShare * cores * MILLI).toInt().coerceAtLeast(1)
 
+    /** Names of the settings that differ in [changed] and are only read at the start of a VM. */
+    fun fixedSettingsChangedIn(changed: FleetSettings): List<String> = listOf(
+        "name" to (changed.name != name),
+        "dataCentre" to (changed.dataCentre != dataCentre),
+        "clients" to (changed.clients != clients),
+        "peers" to (changed.peers != peers),
+        "store" to (changed.store != store),
+        "leaseMs" to (changed.leaseMs != leaseMs),
+        "cpuShare" to (changed.cpuShare != cpuShare),
+        "cores" to (changed.cores != cores),
+    ).filter { (_, differs) -> differs }.map { (name, _) -> name }
+
     companion object {
         const val DEFAULT_CPU_SHARE = 1.0
         const val DEFAULT_CORES = 1
