--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -52,6 +52,25 @@
         return workers.stream().anyMatch(worker -> worker.runs(job));
     }
 
+    /** Records each pair of runs of one task that were at work at the same time, and returns their number. */
+    int parallelRuns() {
+        List<Worker.Interval> all = new ArrayList<>();
+        for (Worker worker : workers) all.addAll(worker.intervals());
+        int count = 0;
+        for (int i = 0; i < all.size(); i++) {
+            for (int k = i + 1; k < all.size(); k++) {
+                Worker.Interval a = all.get(i);
+                Worker.Interval b = all.get(k);
+                long common = Math.min(a.to(), b.to()) - Math.max(a.from(), b.from());
+                if (!a.task().equals(b.task()) || common <= 0) continue;
+                count++;
+                record.line(String.format("task %s: run %d on %s and run %d on %s were at work at the same time for %.1f ms", a.task(), a.run(),
+                    a.worker(), b.run(), b.worker(), common / 1e6));
+            }
+        }
+        return count;
+    }
+
     @Override
     public void close() {
         vms.forEach(Vm::kill);
--- a/review/standin/Review.java
+++ b/review/standin/Review.java
@@ -28,6 +28,7 @@
         try (Fleet fleet = new Fleet(record)) {
             result = switch (arguments[0]) {
                 case "drain" -> drain(fleet, record, trouble);
+                case "pause" -> pause(fleet, record, trouble);
                 case "handover" -> handover(fleet, record, trouble);
                 case "hup" -> hup(fleet, record, trouble);
                 case "cancel" -> cancel(fleet, record, trouble);
@@ -141,6 +142,79 @@
         return false;
     }
 
+    /** The VM that has a job's client is killed while the one whose worker runs the task is paused for less than half a second. */
+    private static int pause(Fleet fleet, Record record, boolean trouble) throws Exception {
+        fleet.worker("i-7f3a91c0", "akl-b");
+        fleet.worker("i-7f3a91c1", "ham-a");
+        Vm entry = fleet.vm("front-tga-a-1", "tga-a");
+        fleet.vm("front-akl-b-1", "akl-b");
+        fleet.vm("front-ham-a-1", "ham-a");
+        for (Vm vm : fleet.vms) vm.start();
+        for (Vm vm : fleet.vms) vm.awaitReady(30);
+        Thread.sleep(5_000);
+        for (int round = 1; round <= PAUSE_ROUNDS && fleet.parallelRuns() == 0; round++) {
+            if (!entry.isAlive()) {
+                entry.start();
+                entry.awaitReady(30);
+                Thread.sleep(5_000);
+            }
+            String id = String.format("5c0e7a21d94b36f%x", round);
+            if (!pauseOnce(fleet, record, trouble, id)) return NOT_RUN;
+        }
+        return fleet.parallelRuns() > 0 ? BROKEN : HELD;
+    }
+
+    private static boolean pauseOnce(Fleet fleet, Record record, boolean trouble, String id) throws Exception {
+        Vm entry = fleet.vms.get(0);
+        long deadlineMs = 8_000;
+        try (Connection client = new Connection(entry.host, entry.front, 10_000)) {
+            record.line("client: POST of job " + id + " to " + entry.name + ", one task of 3000 ms, Deadline-Remaining-Ms " + deadlineMs);
+            client.submit(id, 1, 3_000, deadlineMs);
+            Thread.sleep(1_000);
+            int runner = fleet.workers.get(0).runs(id) ? 1 : 2;
+            if (!fleet.runs(id)) return false;
+            Vm paused = fleet.vms.get(runner);
+            Vm other = fleet.vms.get(3 - runner);
+            if (!trouble) {
+                record.line("client: " + client.readStatus() + " " + client.body());
+                return true;
+            }
+            paused.signal("STOP");
+            long pausedAt = System.nanoTime();
+            sleepUntil(pausedAt, KILL_AFTER_MS);
+            entry.signal("KILL");
+            long killedAt = System.nanoTime();
+            sleepUntil(pausedAt, PAUSE_MS);
+            paused.signal("CONT");
+            try {
+                record.line("client: " + client.readStatus() + " " + client.body());
+            } catch (IOException e) {
+                record.line("client: " + e.getMessage());
+            }
+            // The client sends its job again retry_delay_ms after the broken connection.
+            sleepUntil(killedAt, RETRY_DELAY_MS);
+            try (Connection again = new Connection(other.host, other.front, 10_000)) {
+                record.line("client: POST of job " + id + " again, to " + other.name);
+                again.submit(id, 1, 3_000, deadlineMs);
+                record.line("client: " + again.readStatus() + " " + again.body());
+            }
+            return true;
+        }
+    }
+
+    private static final int PAUSE_ROUNDS = 4;
+
+    /** Length of the pause, in ms. */
+    private static final long PAUSE_MS = 460;
+
+    /** From the begin of the pause to the kill, in ms. */
+    private static final long KILL_AFTER_MS = 120;
+    private static final long RETRY_DELAY_MS = 1_300;
+
+    private static void sleepUntil(long beganNs, long ms) throws InterruptedException {
+        Thread.sleep(Math.max(0, ms - (System.nanoTime() - beganNs) / 1_000_000));
+    }
+
     /** A VM is added; it is cut off from the store for a second just as it takes over the cells that are offered to it. */
     private static int handover(Fleet fleet, Record record, boolean trouble) throws Exception {
         for (String id : HANDOVER_WORKERS) fleet.worker(id, "akl-a");
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -15,23 +15,28 @@
     static final long STOP_MS = 20;
     static final long HEARTBEAT_MS = 1_500;
 
+    /** The steady clock of a worker may be 2 % slow (PROTOCOL.md). */
+    static final double CLOCK_RATE = 0.98;
+
     private static final class Run {
         final String task;
         final long number;
-        final long startedAt;
+        final long startedNs = System.nanoTime();
         final long workMs;
         long stopsAt = Long.MAX_VALUE;
 
-        Run(String task, long number, long startedAt, long workMs) {
+        Run(String task, long number, long workMs) {
             this.task = task;
             this.number = number;
-            this.startedAt = startedAt;
             this.workMs = workMs;
         }
     }
 
     private record End(long n, String task, long run, String how) {}
 
+    /** A run of a task, from its start to its end on System.nanoTime. */
+    record Interval(String task, String worker, long run, long from, long to) {}
+
     final String id;
     private final Store store;
     private final Record record;
@@ -45,6 +50,7 @@
     private final Map<String, Run> runs = new LinkedHashMap<>();
     private final Map<String, Long> highestEnded = new HashMap<>();
     private final List<End> ends = new ArrayList<>();
+    private final List<Interval> intervals = new ArrayList<>();
     private long lastEnd;
     private long highestToken;
     private long leaseUntil;
@@ -75,8 +81,15 @@
         return runs.keySet().stream().anyMatch(task -> task.startsWith(job + "."));
     }
 
+    /** All runs so far; one that is at work lasts until now. */
+    synchronized List<Interval> intervals() {
+        List<Interval> all = new ArrayList<>(intervals);
+        for (Run run : runs.values()) all.add(new Interval(run.task, id, run.number, run.startedNs, System.nanoTime()));
+        return all;
+    }
+
     private long clock() {
-        return (System.nanoTime() - beganNs) / 1_000_000 + 10_000;
+        return (long) ((System.nanoTime() - beganNs) / 1e6 * CLOCK_RATE) + 10_000;
     }
 
     private void loop() {
@@ -110,12 +123,13 @@
         for (Run run : new ArrayList<>(runs.values())) {
             if (now > leaseUntil) end(run, "lapsed");
             else if (now >= run.stopsAt) end(run, "stopped");
-            else if (now >= run.startedAt + run.workMs) end(run, "done");
+            else if (System.nanoTime() >= run.startedNs + run.workMs * 1_000_000) end(run, "done");
         }
     }
 
     private void end(Run run, String how) {
         runs.remove(run.task);
+        intervals.add(new Interval(run.task, id, run.number, run.startedNs, System.nanoTime()));
         highestEnded.merge(run.task, run.number, Math::max);
         ends.add(new End(++lastEnd, run.task, run.number, how));
         record.line("worker " + id + ": run " + run.number + " of " + run.task + " ended " + how);
@@ -164,7 +178,7 @@
         if (present != null || number <= highestEnded.getOrDefault(task, 0L)) return conflict("old");
         if ((runs.size() + 1) * 1_000L > cpu) return conflict("room");
         String spec = (String) body.getOrDefault("spec", "");
-        runs.put(task, new Run(task, number, clock(), Long.parseLong(spec.replaceAll(".*work_ms=(\\d+).*", "$1"))));
+        runs.put(task, new Run(task, number, Long.parseLong(spec.replaceAll(".*work_ms=(\\d+).*", "$1"))));
         record.line("worker " + id + ": run " + number + " of " + task + " started");
         return ok();
     }
@@ -186,7 +200,7 @@
         while (ends.isEmpty() && clock() < until) wait(Math.max(1, until - clock()));
         List<String> running = new ArrayList<>();
         for (Run run : runs.values()) {
-            long percent = Math.min(99, (clock() - run.startedAt) * 100 / Math.max(1, run.workMs));
+            long percent = Math.min(99, (System.nanoTime() - run.startedNs) / 10_000 / Math.max(1, run.workMs));
             running.add("[\"" + run.task + "\"," + run.number + ",\"\"," + percent + ",1000]");
         }
         List<String> ended = new ArrayList<>();
