--- a/review/standin/Review.java
+++ b/review/standin/Review.java
@@ -159,18 +159,18 @@
                 Thread.sleep(5_000);
             }
             String id = String.format("5c0e7a21d94b36f%x", round);
-            if (!pauseOnce(fleet, record, trouble, id)) return NOT_RUN;
+            if (!pauseOnce(fleet, record, trouble, id, PHASE_STEP_MS * round)) return NOT_RUN;
         }
         return fleet.parallelRuns() > 0 ? BROKEN : HELD;
     }
 
-    private static boolean pauseOnce(Fleet fleet, Record record, boolean trouble, String id) throws Exception {
+    private static boolean pauseOnce(Fleet fleet, Record record, boolean trouble, String id, long phaseMs) throws Exception {
         Vm entry = fleet.vms.get(0);
         long deadlineMs = 8_000;
         try (Connection client = new Connection(entry.host, entry.front, 10_000)) {
             record.line("client: POST of job " + id + " to " + entry.name + ", one task of 3000 ms, Deadline-Remaining-Ms " + deadlineMs);
             client.submit(id, 1, 3_000, deadlineMs);
-            Thread.sleep(1_000);
+            Thread.sleep(1_000 + phaseMs);
             int runner = fleet.workers.get(0).runs(id) ? 1 : 2;
             if (!fleet.runs(id)) return false;
             Vm paused = fleet.vms.get(runner);
@@ -204,6 +204,9 @@
 
     private static final int PAUSE_ROUNDS = 4;
 
+    /** Each round begins the pause this much later, so that the rounds differ in when the killed VM sent its last heartbeat, in ms. */
+    private static final long PHASE_STEP_MS = 40;
+
     /** Length of the pause, in ms. */
     private static final long PAUSE_MS = 460;
 
