Review: ports of the scripts outside the range of outgoing connections

A trial of six VMs could not start one of them beside other trials, perhaps for a port taken meanwhile; 14 starts of six VMs with the new choice were all ready within 20 s.

--- a/review/standin/Vm.java
+++ b/review/standin/Vm.java
@@ -2,6 +2,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -9,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -51,11 +53,18 @@
         log = folder.resolve(name + ".log").toFile();
     }
 
+    /** A free port below those that the system gives to outgoing connections, so that it is still free when the process starts again. */
     private static int freePort(String host) throws IOException {
-        try (ServerSocket socket = new ServerSocket()) {
-            socket.bind(new InetSocketAddress(host, 0));
-            return socket.getLocalPort();
+        for (int attempt = 0; attempt < 100; attempt++) {
+            int port = ThreadLocalRandom.current().nextInt(10_000, 32_000);
+            try (ServerSocket socket = new ServerSocket()) {
+                socket.bind(new InetSocketAddress(host, port));
+                return port;
+            } catch (BindException e) {
+                // In use: the next one is tried.
+            }
         }
+        throw new IOException("no free port");
     }
 
     void start() throws IOException {
