Restart the runs of a joined job when its first client leaves

What callers saw: nothing yet. A job that was submitted again through another VM while its first submission was in progress kept runs whose leases depend on the first client's VM. When that client had cancelled it and the second client's VM was killed, the runs went on until the dispatching VM declared that VM lost, 0.7 to 4 s later; the client comes again after 1.3 s.

Cause: the runs of a job are tied to the VM of its first client. Only the loss of that VM, not the cancellation, started them again for the client that is left.

The runs are now stopped and started again for the remaining client, as after the loss of the first one's VM. ResubmissionTest shows that; it was not run without the change.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -203,14 +203,18 @@
     }
 
     /**
-     * The client of [attempt] has cancelled it or disconnected. The job ends if no other client waits for it. An attempt that is not known
-     * yet is refused when it arrives.
+     * The client of [attempt] has cancelled it or disconnected. The job ends if no other client waits for it; if one does, at another VM,
+     * the runs are stopped and started again for that one. An attempt that is not known yet is refused when it arrives.
      */
     fun cancel(attempt: AttemptKey, now: Long): List<DispatchEvent> = synchronized(lock) {
         val outcome = JobOutcome.GivenUp("cancelled")
         val job = jobs[attempt.jobId]?.takeIf { attempt in it.attempts }
         when {
-            job != null -> leave(job, setOf(attempt), outcome, now)
+            job != null -> {
+                val entryVm = job.entryVm
+                val left = leave(job, setOf(attempt), outcome, now)
+                if (job.job.id in jobs && job.entryVm != entryVm) left + stops(job) else left
+            }
 
             else -> {
                 if (attempt !in answers) answers.put(attempt, outcome, now + ANSWER_KEPT_MS, now)
@@ -273,6 +277,9 @@
     fun has(attempt: AttemptKey): Boolean =
         synchronized(lock) { attempt in answers || jobs[attempt.jobId]?.attempts?.contains(attempt) == true }
 
+    /** Incarnations of the VMs whose clients wait for the jobs in progress. */
+    fun entryVms(): Set<String> = synchronized(lock) { jobs.values.flatMapTo(HashSet()) { job -> job.attempts.map { it.entryVm } } }
+
     /** Jobs without a started task, by queue. */
     fun waitingJobs(): Map<String, Int> =
         synchronized(lock) { jobs.values.filter { !it.hasStarted }.groupingBy { it.queue.name }.eachCount() }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
@@ -50,6 +50,9 @@
     /** The submissions whose clients wait for the job, which ends when there are none left. */
     val attempts = linkedSetOf(submission.attempt)
 
+    /** Incarnation of the VM whose client the runs are started for. */
+    val entryVm: String get() = attempts.first().entryVm
+
     /** Adds another submission of the same job. */
     fun join(submission: Submission) {
         attempts += submission.attempt
@@ -111,7 +114,7 @@
             avoid = task.avoid,
             hasFailed = task.hasFailedLast,
             dispatch = dispatch,
-            entryVm = attempts.first().entryVm,
+            entryVm = entryVm,
             deadlineAt = deadlineAt,
         )
     }
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/ResubmissionTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/ResubmissionTest.kt
@@ -45,6 +45,19 @@
                 placer.placed shouldHaveSize 2
             }
 
+            // Guards against runs whose leases depend on a VM that does not want them any more, while the one that does may be lost.
+            it("goes on for the second client with other runs when the first client, at another VM, has cancelled it") {
+                val dispatch = Dispatch(ORIGIN)
+                val placer = RecordingPlacer()
+                dispatch.submit(submission(1), CORES, 0, placer)
+                dispatch.submit(submission(1, now = 1_300, entryVm = "vm-3", deadlineAt = 3_000), CORES, 1_300, placer)
+                val stops = dispatch.cancel(submission(1).attempt, now = 1_310).filterIsInstance<DispatchEvent.StopRun>()
+                stops.map { it.key } shouldBe listOf(placer.placed.single().key)
+                dispatch.onRunEnd(placer.placed[0].key, RunEnd.LOST, "w", 1_320)
+                dispatch.schedule(1_320, placer)
+                placer.placed.map { it.entryVm } shouldBe listOf("vm-2", "vm-3")
+            }
+
             // Guards against a further run beside the one in progress: the end of the earlier submission's run was taken for its end.
             it("ignores the end of a run of the earlier submission that has the same run number") {
                 val dispatch = Dispatch(ORIGIN)
