--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -44,20 +44,20 @@
 )
 
 /**
- * The cell [name], owned under the fencing token [token]. [heardAt] is the time of the last heartbeat from the VM with an incarnation, null
- * if there was none or the VM is lost. Times are in ms on the VM's monotonic clock unless stated otherwise.
+ * The cell [name], owned under the fencing token [token]. Times are in ms on the VM's monotonic clock unless stated otherwise, and
+ * dates are those of [demand].
  */
 internal class Cell(
     val name: String,
     val token: Long,
     private val rules: FleetRules = FleetRules(),
-    private val heardAt: (String) -> Long? = { Long.MAX_VALUE / 2 },
+    private val demand: RunDemand = RunDemand.Always,
 ) {
     private val lock = Any()
     private val workers = LinkedHashMap<String, TrackedWorker>()
     private val awaitingRelease = mutableSetOf<String>()
     private var acceptsRuns = true
-    private val stops = RunStops(rules)
+    private val stops = RunStops(rules, demand)
     private val leases = LeasePlanner(token, rules, areAnswersFast = { responseTimes.areFast })
 
     /** Response times of the workers to the controller's calls. */
@@ -67,7 +67,7 @@
     fun updateWorkers(entries: List<WorkerEntry>) = synchronized(lock) {
         entries.forEach { entry ->
             val worker = workers.getOrPut(entry.id) {
-                TrackedWorker(entry, rules, heardAt).also {
+                TrackedWorker(entry, rules, demand).also {
                     it.isReleased =
                         entry.id !in awaitingRelease
                 }
@@ -105,6 +105,11 @@
     /** True while a former owner may have runs on a worker. */
     fun isAwaitingRelease(): Boolean = synchronized(lock) { workers.values.any { !it.isReleased } }
 
+    /** Incarnations of the VMs that dispatched the runs in progress. */
+    val origins: Set<String> get() = synchronized(lock) {
+        workers.values.flatMapTo(HashSet()) { it.runs.values.map { run -> run.order.origin } }
+    }
+
     fun runCount(): Int = synchronized(lock) { workers.values.sumOf { it.runs.size } }
 
     /** Free capacity and relative speed of each usable worker that can take a run, by pool. */
@@ -136,8 +141,7 @@
     fun place(order: RunOrder, now: Long, excluded: String? = null): Placement? = synchronized(lock) {
         if (!acceptsRuns || hasTask(order.task)) return@synchronized null
         val worker = workers.values.choose(order, now, excluded) ?: return@synchronized null
-        val run = TrackedRun(order, now)
-        worker.runs[order.task] = run
+        worker.addRun(order, now)
         leases.placement(worker, order, now)
     }
 
@@ -280,8 +284,8 @@
     }
 
     /**
-     * Repeats unconfirmed stops, and ends the runs of unresponsive workers whose lease has expired: its length, the clock drift and a
-     * margin have passed since the last renewal was sent.
+     * Stops runs that have not been wanted for long, repeats unconfirmed stops, and ends the runs of unresponsive workers whose lease has
+     * expired: its length, the clock drift and a margin have passed since the last renewal was sent.
      */
     fun tick(now: Long): List<CellEvent> = synchronized(lock) {
         if (workers.values.all { it.runs.isEmpty() && it.untrackedRuns.isEmpty() }) return@synchronized emptyList()
@@ -290,7 +294,8 @@
             worker.health.eject(now)
             worker.runs.values.toList().map { worker.end(it, RunEnd.LOST) }
         }
-        ended + workers.values.flatMap { stops.repeat(it, now) }
+        val stale = workers.values.flatMap { worker -> worker.staleRuns(now).flatMap { stops.stop(worker, it, now) } }
+        ended + stale + workers.values.flatMap { stops.repeat(it, now) }
     }
 
     /** Ends all runs as lost without calls to the workers, which now belong to another owner. */
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/FleetRules.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/FleetRules.kt
@@ -21,7 +21,9 @@
  * @property stopRetryMs a stop that a worker has not confirmed is sent again after this time
  * @property stopTimeoutMs a worker ends a run at most this long after it has confirmed the stop
  * @property maxClockAgeMs a worker's clock that was read longer ago than this is read again before a run is started there
- * @property heartbeatDelayMs the last heartbeat from a VM that is alive is usually no older than this
+ * @property joinMarginMs a run may be started under a lease that ends up to this much later than its own demand allows
+ * @property demandStaleMs a run that has not been wanted for this long is stopped, before its worker's lease ends because of it
+ * @property maxRequestAgeMs a peer's request that may be older than this is not carried out
  * @property claimStaleMs a cell may be taken over if its owner has not renewed the claim for this long
  * @property expiredEntryGraceMs a worker entry that expired while the store was unavailable may reappear for this long after the store is
  *     available again
@@ -44,7 +46,9 @@
     val stopRetryMs: Long = 100,
     val stopTimeoutMs: Long = 50,
     val maxClockAgeMs: Long = 10_000,
-    val heartbeatDelayMs: Long = 180,
+    val joinMarginMs: Long = 180,
+    val demandStaleMs: Long = 800,
+    val maxRequestAgeMs: Long = 500,
     val claimStaleMs: Long = 1_300,
     val expiredEntryGraceMs: Long = 2_300,
 ) {
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/FormerDispatchers.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/FormerDispatchers.kt
@@ -6,22 +6,47 @@
 
 import dandelionpoint.protocol.peer.VmIdentity
 
+/** What a report of a former owner is good for. */
+internal enum class ReportUse {
+    APPLIED,
+
+    /** Its sender is not the VM from which the cell was taken over. */
+    NOT_AWAITED,
+
+    /** It may have been made before the cell was taken over, and has to be sent again. */
+    TOO_OLD,
+}
+
 /** The former owners of this VM's cells that have not finished yet. */
 internal class FormerDispatchers {
-    /** [openJobs] is null until the first report has arrived. */
-    private class Former(val vm: VmIdentity, var openJobs: Set<String>? = null)
+    /** [openJobs] is null until the first report has arrived that was made after [since], the date at which the cell was taken over. */
+    private class Former(val vm: VmIdentity, val since: Long, var openJobs: Set<String>? = null)
 
     private val lock = Any()
     private val formers = HashMap<String, Former>()
 
-    /** This VM has taken [cell] over from [former]. */
-    fun gained(cell: String, former: VmIdentity) {
-        synchronized(lock) { formers[cell] = Former(former) }
+    /** This VM has taken [cell] over from [former], on the date [now] of [RunDemand]. */
+    fun gained(cell: String, former: VmIdentity, now: Long) {
+        synchronized(lock) { formers[cell] = Former(former, now) }
     }
 
-    /** [from] has no jobs of [cell] in progress but [openJobs]. A report of a VM that is not the cell's former owner is ignored. */
-    fun onReport(cell: String, from: VmIdentity, openJobs: Set<String>) {
-        synchronized(lock) { formers[cell]?.takeIf { it.vm == from }?.openJobs = openJobs }
+    /**
+     * [from] has no jobs of [cell] in progress but [openJobs], according to a report that it made on the date [sentAt] or later. Returns
+     * whether the report counts. One of a VM that is not the cell's former owner does not, nor one that may be from an earlier handover of
+     * the cell: its sender may have owned the cell again since.
+     */
+    fun onReport(cell: String, from: VmIdentity, openJobs: Set<String>, sentAt: Long): ReportUse = synchronized(lock) {
+        val former = formers[cell]
+        when {
+            former == null || former.vm != from -> ReportUse.NOT_AWAITED
+
+            sentAt < former.since -> ReportUse.TOO_OLD
+
+            else -> {
+                former.openJobs = openJobs
+                ReportUse.APPLIED
+            }
+        }
     }
 
     /** [vm] is lost, and its jobs have ended with it. */
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/PeerLiveness.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/PeerLiveness.kt
@@ -1,6 +1,7 @@
 /*
- * Which peers are alive, by the time of their last heartbeat. During a pause of its own process a VM receives no heartbeats; so that it
- * does not take its peers for lost afterwards, the length of the pause is added to the time of each peer's last heartbeat.
+ * Which peers are alive. Two times answer two questions. A peer is lost some time after its last heartbeat was read; during a pause of its
+ * own process a VM reads none, so that the length of the pause is added to that time. What a peer still wanted, and when, is dated by when
+ * it made the heartbeat instead: one that was read late is no sign that its sender is alive.
  */
 package dandelionpoint.coordination.fleet
 
@@ -12,14 +13,17 @@
 
 /**
  * The live peers of this VM. A peer is lost after [unresponsiveMs] without a heartbeat, which depends on how often it sends them. Times are
- * in ms on the VM's monotonic clock.
+ * in ms on the VM's monotonic clock, dates are those of [RunDemand].
  */
 internal class PeerLiveness(private val unresponsiveMs: (VmIdentity) -> Long) {
-    /** [countedAt] is [receivedAt] plus the pauses of this process since. */
-    private class LastHeartbeat(val vm: VmIdentity, val unresponsiveMs: Long, var receivedAt: Long, var heartbeat: FleetHeartbeat) {
-        var countedAt = receivedAt
+    /** [countedAt] is the time at which the heartbeat was read, plus the pauses of this process since; [aliveAt] is its date. */
+    private class LastHeartbeat(val vm: VmIdentity, val unresponsiveMs: Long, var aliveAt: Long, var heartbeat: FleetHeartbeat) {
+        var countedAt = 0L
     }
 
+    /** What the VM with the incarnation [reporter] has reported of [vm]. */
+    private data class Report(val reporter: String, val vm: String)
+
     private val lock = Any()
 
     /** The live peers by their incarnations. */
@@ -28,38 +32,35 @@
     /** True if two peers may be incarnations of the same VM: a peer was added since [removeLost] has last looked for them. */
     private var mayHaveReplaced = false
 
-    /** Times of the last heartbeats of VMs that other VMs have reported, by the incarnations. */
-    private val relayed = ExpiringMap<String, Long>()
+    /** Dates of the last heartbeats of VMs that other VMs have reported. */
+    private val reported = ExpiringMap<Report, Long>()
 
-    /** Records a heartbeat that was received at [now]. */
-    fun onHeartbeat(vm: VmIdentity, heartbeat: FleetHeartbeat, now: Long) {
+    /** Records a heartbeat that was read at [now] and that [vm] made on the date [sentAt] or later. */
+    fun onHeartbeat(vm: VmIdentity, heartbeat: FleetHeartbeat, now: Long, sentAt: Long = now) {
         synchronized(lock) {
             val last = peers.getOrPut(vm.incarnation) {
                 mayHaveReplaced = true
-                LastHeartbeat(vm, unresponsiveMs(vm), now, heartbeat)
+                LastHeartbeat(vm, unresponsiveMs(vm), sentAt, heartbeat)
             }
-            last.receivedAt = now
+            last.aliveAt = maxOf(last.aliveAt, sentAt)
             last.countedAt = now
             last.heartbeat = heartbeat
-            heartbeat.relayed.forEach { (incarnation, ageMs) -> recordRelayed(incarnation, ageMs, now) }
+            heartbeat.relayed.forEach { (incarnation, ageMs) -> record(Report(vm.incarnation, incarnation), sentAt, ageMs, now) }
         }
     }
 
-    /** Records another message from [vm], received at [now], as a sign of life. Has no effect before the VM's first heartbeat. */
+    /** Records another message from [vm], read at [now], after which the VM is not taken for lost for a while. */
     fun onMessage(vm: VmIdentity, now: Long) {
-        synchronized(lock) {
-            val last = peers[vm.incarnation] ?: return
-            last.receivedAt = now
-            last.countedAt = now
-        }
+        synchronized(lock) { peers[vm.incarnation]?.countedAt = now }
     }
 
-    /** A peer reports at [now] that it received a heartbeat from the VM with [incarnation] [ageMs] ago. */
-    fun onRelayed(incarnation: String, ageMs: Long, now: Long) = synchronized(lock) { recordRelayed(incarnation, ageMs, now) }
+    /** A message of [reporter], made on the date [sentAt] or later and read at [now], says that [vm] was alive [ageMs] before. */
+    fun onReport(reporter: String, vm: String, ageMs: Long, sentAt: Long, now: Long) =
+        synchronized(lock) { record(Report(reporter, vm), sentAt, ageMs, now) }
 
-    private fun recordRelayed(incarnation: String, ageMs: Long, now: Long) {
-        val heardAt = now - ageMs.coerceAtLeast(0)
-        if (heardAt > (relayed[incarnation] ?: Long.MIN_VALUE)) relayed.put(incarnation, heardAt, heardAt + RELAYED_KEPT_MS, now)
+    private fun record(report: Report, sentAt: Long, ageMs: Long, now: Long) {
+        val aliveAt = sentAt - ageMs.coerceAtLeast(0)
+        if (aliveAt > (reported[report] ?: Long.MIN_VALUE)) reported.put(report, aliveAt, now + REPORT_KEPT_MS, now)
     }
 
     /** Removes and returns the peers that are lost: unresponsive, or replaced by a newer incarnation of the same VM. */
@@ -86,12 +87,11 @@
         peers.values.forEach { it.countedAt = minOf(it.countedAt + pauseMs, now) }
     }
 
-    /** Time of the last heartbeat from the VM with [incarnation], received here or by a peer; null if none is known or the VM is lost. */
-    fun heardAt(incarnation: String): Long? = synchronized(lock) {
-        val own = peers[incarnation]?.receivedAt
-        val ofPeers = relayed[incarnation]
-        if (own != null && ofPeers != null) maxOf(own, ofPeers) else own ?: ofPeers
-    }
+    /** Date of the last heartbeat from the VM with [incarnation], null if none was read or the VM is lost. */
+    fun aliveAt(incarnation: String): Long? = synchronized(lock) { peers[incarnation]?.aliveAt }
+
+    /** The last date at which [vm] was alive according to [reporter], null if that has reported none lately. */
+    fun reportedAliveAt(reporter: String, vm: String): Long? = synchronized(lock) { reported[Report(reporter, vm)] }
 
     fun live(): List<LivePeer> = synchronized(lock) { peers.values.map { LivePeer(it.vm, it.heartbeat) } }
 
@@ -104,7 +104,7 @@
     fun heartbeat(vm: VmIdentity): FleetHeartbeat? = synchronized(lock) { peers[vm.incarnation]?.heartbeat }
 
     private companion object {
-        /** How long a relayed time is kept after it, in ms: longer than a lease that is counted from it. */
-        const val RELAYED_KEPT_MS = 2_000L
+        /** How long a report is kept, in ms: longer than a lease that is counted from it. */
+        const val REPORT_KEPT_MS = 2_000L
     }
 }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/RunOrder.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/RunOrder.kt
@@ -22,7 +22,8 @@
  * connected to, [origin] if it is unknown; the client waits for the job until [deadlineAt], in ms on the monotonic clock of the VM that
  * holds this order. [estimateMs] is the expected run time in ms. [avoid] is the worker of an earlier, unsuccessful run of the task, used
  * only as a last choice. If the earlier run [hasFailed] there, that worker is not used at all while another one of the cell can run the
- * task, since a task has few attempts.
+ * task, since a task has few attempts. [wantedAt] is the
+ * date at which the request for a remote run says that it was wanted, see [RunDemand].
  */
 internal data class RunOrder(
     val run: TaskRun,
@@ -39,6 +40,7 @@
     val dispatch: Long = 0,
     val entryVm: String = origin,
     val deadlineAt: Long = Long.MAX_VALUE,
+    val wantedAt: Long = Long.MIN_VALUE / 2,
 ) {
     val key: RunKey get() = RunKey(origin, dispatch, run)
 
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/RunStops.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/RunStops.kt
@@ -9,15 +9,12 @@
 import dandelionpoint.protocol.fleet.TaskRun
 
 /** A request to stop a run, made at [requestedAt]. Times are in ms on the VM's monotonic clock. */
-internal class StopRequest(private val requestedAt: Long, private val rules: FleetRules) {
+internal class StopRequest(requestedAt: Long, private val rules: FleetRules) {
     private var sentAt = requestedAt
     private var confirmedAt: Long? = null
 
     val isConfirmed: Boolean get() = confirmedAt != null
 
-    /** While the stop is unconfirmed, the run ends with its worker's lease no later than this. */
-    val leaseLimit: Long get() = if (isConfirmed) Long.MAX_VALUE else requestedAt + rules.leaseMs
-
     /** True if the request has to be sent again at [now], which is then taken as done. */
     fun sendAgain(now: Long): Boolean {
         if (isConfirmed || now - sentAt < rules.stopRetryMs) return false
@@ -38,13 +35,13 @@
 /** A run in a worker's run list that this owner does not track, last listed at [listedAt], with the [stop] that was requested for it. */
 internal class UntrackedRun(val stop: StopRequest, var listedAt: Long)
 
-/** Makes and repeats the requests to stop runs on the workers of one cell. Not thread-safe. */
-internal class RunStops(private val rules: FleetRules) {
+/** Makes and repeats the requests to stop runs on the workers of one cell, whose dates are those of [demand]. Not thread-safe. */
+internal class RunStops(private val rules: FleetRules, private val demand: RunDemand) {
     /** Requests the stop of [run], or repeats the request if it is due. */
     fun stop(worker: TrackedWorker, run: TrackedRun, now: Long): List<CellEvent> {
         val earlier = run.stop
         if (earlier?.sendAgain(now) == false) return emptyList()
-        if (earlier == null) run.requestStop(StopRequest(now, rules))
+        if (earlier == null) run.requestStop(StopRequest(now, rules), demand.dateOf(now))
         return listOf(CellEvent.Stop(worker.entry, run.order.run))
     }
 
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -25,16 +25,16 @@
     STOPPING,
 }
 
-/** A run on a worker. [orderedAt], [lastHeartbeatAt] and [listedAfter] are in ms on the VM's monotonic clock. */
-internal class TrackedRun(val order: RunOrder, val orderedAt: Long) {
-    /**
-     * Time of the last heartbeat from the VM that dispatched the run, or from that of its client if that one is earlier. Later ones do not
-     * count once the stop of the run was requested.
-     */
-    var lastHeartbeatAt = orderedAt
-
+/**
+ * A run on a worker. [orderedAt] and [listedAfter] are in ms on the VM's monotonic clock. [wantedAt] is the last date at which the run was
+ * certainly wanted, see [RunDemand]; it does not change once the stop of the run was requested.
+ */
+internal class TrackedRun(val order: RunOrder, val orderedAt: Long, var wantedAt: Long = order.wantedAt) {
     var state = RunState.ORDERED
 
+    /** When the run was first found not to have been wanted for longer than a lease, null if it has been wanted since. */
+    var staleSince: Long? = null
+
     /** A run list that was requested later than this contains the run, unless it has ended or never started. */
     var listedAfter = Long.MAX_VALUE
 
@@ -49,8 +49,9 @@
     /** True once the worker has confirmed the stop. If it has not started the run by then, it never will. */
     val isStopConfirmed: Boolean get() = stop?.isConfirmed == true
 
-    /** Requests the stop of this run. */
-    fun requestStop(request: StopRequest) {
+    /** Requests the stop of this run on [date], from which on it is not wanted any more. */
+    fun requestStop(request: StopRequest, date: Long) {
+        wantedAt = min(wantedAt, date)
         state = RunState.STOPPING
         stop = request
     }
@@ -70,14 +71,10 @@
 }
 
 /**
- * One worker with its runs, lease and clock; [heardAt] is that of the [Cell]. Not thread-safe. Times are in ms on the VM's monotonic clock
- * unless stated otherwise.
+ * One worker with its runs, lease and clock. Not thread-safe. Times are in ms on the VM's monotonic clock unless stated otherwise, and
+ * dates are those of [demand].
  */
-internal class TrackedWorker(
-    var entry: WorkerEntry,
-    private val rules: FleetRules,
-    private val heardAt: (String) -> Long? = { Long.MAX_VALUE / 2 },
-) {
+internal class TrackedWorker(var entry: WorkerEntry, private val rules: FleetRules, private val demand: RunDemand = RunDemand.Always) {
     val health = LeasedWorkerHealth(rules)
     val runs = LinkedHashMap<TaskRef, TrackedRun>()
 
@@ -113,24 +110,46 @@
 
     /**
      * The longest lease, in ms, that a call sent at [now] may give to this worker. The lease ends at the latest one lease after the last
-     * heartbeat from each VM that dispatched a run here or has its client, and one lease after the request of a stop that is still
-     * unconfirmed, if that is earlier. A run with a confirmed stop does not count. There is no renewal while an untracked run's stop is
-     * unconfirmed, so that the run ends with the lease that its former owner counts on.
+     * date at which each run here was wanted. A run with a confirmed stop does not count. There is no renewal while an untracked run's stop
+     * is unconfirmed, so that the run ends with the lease that its former owner counts on.
      */
     fun leaseLength(now: Long): Long {
         if (untrackedRuns.values.any { !it.stop.isConfirmed }) return 0
-        val limits = runs.values.filter { !it.isStopConfirmed }.map { min(heartbeatLimit(it), it.stop?.leaseLimit ?: Long.MAX_VALUE) }
-        return min(rules.leaseMs, limits.minOrNull()?.minus(now) ?: rules.leaseMs)
+        val oldest = runs.values.filter { !it.isStopConfirmed }.minOfOrNull { lastWantedAt(it) } ?: return rules.leaseMs
+        return min(rules.leaseMs, oldest + rules.leaseMs - demand.dateOf(now))
+    }
+
+    /** The date of a VM that has been lost since, or before the stop of [run] was requested, is still the one that counts. */
+    private fun lastWantedAt(run: TrackedRun): Long {
+        if (run.stop == null) demand.wantedAt(run.order)?.let { run.wantedAt = max(run.wantedAt, it) }
+        return run.wantedAt
     }
 
-    /** The last heartbeat from a VM that has been lost since, or before the stop of the run was requested, is still the one that counts. */
-    private fun heartbeatLimit(run: TrackedRun): Long {
-        if (run.stop == null) lastHeartbeat(run.order)?.let { run.lastHeartbeatAt = it }
-        return run.lastHeartbeatAt + rules.leaseMs
+    /** The last date at which the run of [order], which is not started yet, was wanted; null if a VM that wants it is lost or unknown. */
+    private fun lastWantedAt(order: RunOrder): Long? = demand.wantedAt(order)?.let { max(order.wantedAt, it) }
+
+    /** Adds the run of [order], which is ordered at [now]. */
+    fun addRun(order: RunOrder, now: Long) {
+        runs[order.task] = TrackedRun(order, now, wantedAt = lastWantedAt(order) ?: order.wantedAt)
     }
 
-    /** The earlier one of the last heartbeats from the VMs that want the run of [order], null if one of them is lost or unknown. */
-    private fun lastHeartbeat(order: RunOrder): Long? = min(heardAt(order.origin) ?: return null, heardAt(order.entryVm) ?: return null)
+    /**
+     * Runs that have not been wanted for so long at [now] that their worker's lease will end soon. Their stops, unlike the end of the
+     * lease, leave the worker's other runs in progress.
+     */
+    fun staleRuns(now: Long): List<TrackedRun> = runs.values.filter { it.stop == null && isStale(it, now) }
+
+    /**
+     * After a step of the wall clock, or a pause of this process, demand may seem older than a lease at once. It then has the time in which
+     * a heartbeat arrives to be confirmed.
+     */
+    private fun isStale(run: TrackedRun, now: Long): Boolean {
+        val ageMs = demand.dateOf(now) - lastWantedAt(run)
+        if (ageMs <= rules.demandStaleMs) run.staleSince = null
+        if (ageMs <= rules.leaseMs) return ageMs > rules.demandStaleMs
+        val since = run.staleSince ?: now.also { run.staleSince = now }
+        return now - since > STALE_CONFIRM_MS
+    }
 
     /** Records that a call sent at [now] renews the lease for [lengthMs]. */
     fun extendLease(now: Long, lengthMs: Long) {
@@ -179,12 +198,13 @@
         free().covers(order.demand)
 
     /**
-     * A lease is never shortened, so a run is not started under one that reaches much further than its own VMs' last heartbeats allow,
-     * nor for a VM that is lost or unknown.
+     * A lease is never shortened, so a run is not started under one that reaches much further than its own demand allows, nor for a VM that
+     * is lost or unknown.
      */
     private fun mayJoinLease(order: RunOrder, now: Long): Boolean {
-        val limit = (lastHeartbeat(order) ?: return false) + rules.leaseMs
-        return limit - now >= rules.shortestFirstLeaseMs && grantedUntil <= limit + rules.heartbeatDelayMs
+        val wantedAt = lastWantedAt(order) ?: return false
+        val lengthMs = wantedAt + rules.leaseMs - demand.dateOf(now)
+        return lengthMs >= rules.shortestFirstLeaseMs && grantedUntil <= now + lengthMs + rules.joinMarginMs
     }
 
     /** Expected run time of [order] on this worker, in ms. */
@@ -251,6 +271,9 @@
         const val NO_PROGRESS_MS = 600L
         const val PERCENT = 100
 
+        /** Heartbeats that were made after a step of the wall clock or a pause arrive within this time, in ms. */
+        const val STALE_CONFIRM_MS = 350L
+
         /** Added to the expected run time on a worker to avoid, in ms, so that it is the last choice. */
         const val AVOID_COST_MS = 1_000_000L
 
--- a/src/main/kotlin/dandelionpoint/entry/EntryVm.kt
+++ b/src/main/kotlin/dandelionpoint/entry/EntryVm.kt
@@ -79,7 +79,7 @@
     private val membership =
         Membership(MembershipSettings(settings.heartbeat.suspectMs.toLong(), settings.heartbeat.deadMs.toLong()), clock)
     private val events = MembershipEvents()
-    private val network: PeerNetwork = PeerNetwork(scope, settings.cluster, { from, message -> peers.handle(from, message) }, events)
+    private val network: PeerNetwork = PeerNetwork(scope, settings.cluster, { from, message, _ -> peers.handle(from, message) }, events)
     private val queues = TeamQueues({ preset().queueSettings() }, clock)
     private val placement =
         settings.placement.policy.create(placementSettings { preset() }, { clock.millis() }, SharedRandom(random.nextLong()))
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -19,6 +19,7 @@
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
 import dandelionpoint.protocol.Clock
+import dandelionpoint.protocol.UptimeClock
 import dandelionpoint.protocol.fleet.FleetJob
 import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.fleet.JobQueue
@@ -65,14 +66,16 @@
     private val incarnation: String = UUID.randomUUID().toString(),
     context: CoroutineContext = Dispatchers.Default,
     random: Random = Random.Default,
-    transport: PeerTransportFactory = { scope, handler, events -> PeerNetwork(scope, CLUSTER, handler, events) },
+    transport: PeerTransportFactory = { scope, handler, events -> PeerNetwork(scope, CLUSTER, handler, events, clock = clock) },
 ) : FleetJobService {
     /** Scope of all loops of this VM; [close] cancels it. */
     val scope = CoroutineScope(context + SupervisorJob(context[Job]))
-    private val network: PeerTransport = transport(scope, { from, message -> peerRequests.handle(from, message) }, Connections())
+    private val network: PeerTransport =
+        transport(scope, { from, message, ageMs -> peerRequests.handle(from, message, ageMs) }, Connections())
     private val peers = PeerState(::unresponsiveMs, RemoteCapacity(settings.dataCentre, random))
+    private val demand = PeerDemand(incarnation, peers.liveness, UptimeClock(clock))
     private val tables = FleetTables(ports, Tables(), clock, rules)
-    private val cells = OwnedCells(scope, ports.workers, Runs(), { tables.workers() }, clock, rules, ::heardAt)
+    private val cells = OwnedCells(scope, ports.workers, Runs(), { tables.workers() }, clock, rules, demand)
     private val dispatch = Dispatch(incarnation)
     private val handovers =
         CellHandovers(scope, network, cells, peers.formers, ::openJobs, { peers.liveness.isLive(it) }, clock)
@@ -89,14 +92,16 @@
     private val peerRequests = PeerRequests(
         peers,
         admission,
+        demand,
         PeerRequestTargets(runner, remoteRuns, claims, cells, ::routeOf, ::onHeartbeat, ::configurationMessage),
+        rules,
         clock,
     )
 
     private val claimGuard = LoopGuard("claims")
     private val isClaiming = AtomicBoolean()
 
-    /** Looks for clients that have disconnected; called every [TICK_MS] times [CLIENT_POLL_TICKS]. */
+    /** Ends the jobs of clients that have disconnected. Called before this VM tells its peers that it is there, and at each other tick. */
     @Volatile
     var pollClients: () -> Unit = {}
 
@@ -211,8 +216,10 @@
         return if (dispatch.hasJob(jobId)) DispatchRoute.Here else ownership.route(jobId)
     }
 
-    /** Time of the last sign of life from the VM with [vm] as its incarnation, null if it is lost or unknown. */
-    private fun heardAt(vm: String): Long? = if (vm == incarnation) clock.millis() else peers.liveness.heardAt(vm)
+    /** Looks for clients that have disconnected, unless that was done at most [maxAgeMs] ago. */
+    private fun lookAtClients(maxAgeMs: Long) {
+        if (demand.clientsAgeMs() > maxAgeMs) demand.lookAtClients(pollClients)
+    }
 
     private fun unresponsiveMs(vm: VmIdentity): Long =
         if (vm.dataCentre == settings.dataCentre) rules.peerUnresponsiveMs else rules.farPeerUnresponsiveMs
@@ -250,7 +257,7 @@
 
         override fun isLive(vm: VmIdentity): Boolean = peers.liveness.isLive(vm)
 
-        override fun heardAt(incarnation: String): Long? = this@FleetVm.heardAt(incarnation)
+        override fun demandAgeMs(incarnation: String): Long? = demand.ageMs(incarnation)
 
         override fun hasTask(task: TaskRef): Boolean = cells.hasTask(task)
 
@@ -288,7 +295,7 @@
 
         override fun gained(cell: String, token: Long, formerOwner: VmIdentity?) {
             val former = formerOwner?.takeIf { peers.liveness.isLive(it) }
-            former?.let { peers.formers.gained(cell, it) }
+            former?.let { peers.formers.gained(cell, it, demand.now()) }
             cells.gain(cell, token, former)
             heartbeats.announceChange()
         }
@@ -305,7 +312,7 @@
     private inner class Heartbeats : HeartbeatSource {
         /** VMs of other data centres need not know the cells of this one: they claim them only if it has no live VM. */
         override fun heartbeat(isSameDataCentre: Boolean): FleetHeartbeat {
-            val now = clock.millis()
+            lookAtClients(TICK_MS)
             val shown = cells.owned().map { it.cell }.filter {
                 claims.isProven(it.name) && (isSameDataCentre || Cells.dataCentreOf(it.name) != settings.dataCentre)
             }
@@ -316,18 +323,20 @@
                 isStopping = isStopping,
                 configVersion = tables.configurationVersion,
                 waitingJobs = dispatch.waitingJobs(),
-                relayed = if (isSameDataCentre) emptyMap() else relayed(now),
+                relayed = if (isSameDataCentre) emptyMap() else entryVmAges(),
                 cancelledJobs = forwarder.unconfirmedCancellations(),
                 cancelledRuns = runner.unconfirmedStops(),
             )
         }
 
-        private fun relayed(now: Long): Map<String, Long> = runner
+        private fun entryVmAges(): Map<String, Long> = runner
             .entryVmsOfRemoteRuns()
             .filter { it != incarnation }
-            .mapNotNull { vm -> heardAt(vm)?.let { vm to now - it } }
+            .mapNotNull { vm -> demand.ageMs(vm)?.let { vm to it } }
             .toMap()
 
+        override fun dependents(): Set<String> = cells.origins() + dispatch.entryVms() - incarnation
+
         override fun partners(): Set<VmIdentity> = runner.partners() + forwarder.dispatchers()
 
         override fun sending() = admission.onHeartbeat()
@@ -337,10 +346,10 @@
         override fun isWaiting(vm: VmIdentity): Boolean = peers.liveness.heartbeat(vm)?.waitingJobs?.isNotEmpty() ?: false
     }
 
-    private fun onHeartbeat(from: VmIdentity, heartbeat: FleetHeartbeat) {
+    private fun onHeartbeat(from: VmIdentity, heartbeat: FleetHeartbeat, sentAt: Long) {
         applyCancellations(from, heartbeat)
         claims.ownerHeard(from)
-        peers.onHeartbeat(from, heartbeat, clock.millis())
+        peers.onHeartbeat(from, heartbeat, clock.millis(), sentAt)
         runner.onCapacity()
         if (heartbeat.configVersion > tables.configurationVersion) scope.launch { pullConfiguration(from) }
     }
@@ -375,7 +384,8 @@
         var ticks = 0
         while (scope.isActive) {
             if (ticks % CLAIM_TICKS == 0) startClaimStep()
-            if (ticks++ % CLIENT_POLL_TICKS == 0) guard.attempt("clients") { pollClients() }
+            ticks++
+            guard.attempt("clients") { lookAtClients(TICK_MS) }
             guard.attempt("admission") { admission.tick() }
             guard.attempt("peers") { peers.liveness.removeLost(clock.millis()).forEach { peerLost(it) } }
             guard.attempt("cells") { cells.tick() }
@@ -436,8 +446,6 @@
         /** Ticks from one step of the claims to the next. */
         const val CLAIM_TICKS = 3
 
-        /** Ticks between two looks at the clients' connections. */
-        const val CLIENT_POLL_TICKS = 2
         const val PULL_TIMEOUT_MS = 1_000L
 
         /** The load balancer stops sending new connections here within this time after the readiness check fails, in ms. */
--- a/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/HeartbeatSender.kt
@@ -2,7 +2,8 @@
  * Sends this VM's heartbeats. Peers of the same data centre, and those of other data centres that run tasks or dispatch jobs for this VM,
  * get them at a short interval, since they end that work when this VM is lost. The other peers get them at an interval that grows with
  * their number: otherwise the heartbeats between all VMs would grow with the square of it. Peers with waiting jobs learn of new free
- * capacity at once.
+ * capacity at once. VMs of other data centres for which this VM has runs or jobs in progress get its stamps at the short interval, so that
+ * it can date their heartbeats.
  */
 package dandelionpoint.fleet
 
@@ -26,6 +27,9 @@
     /** Peers of other data centres that have runs or jobs of this VM in progress. */
     fun partners(): Set<VmIdentity>
 
+    /** Incarnations of the VMs for which this VM has runs or jobs in progress. */
+    fun dependents(): Set<String>
+
     /** The heartbeats that are due are now sent. */
     fun sending() = Unit
 
@@ -82,8 +86,16 @@
         val farIntervalMs = (far.size * FAR_INTERVAL_PER_PEER_MS).coerceAtMost(MAX_FAR_INTERVAL_MS)
         val isFarDue = now - sentToFarAt >= farIntervalMs - MIN_INTERVAL_MS
         if (isFarDue) sentToFarAt = now
-        val partners = if (isFarDue) emptySet() else source.partners()
-        send(far.filter { isFarDue || it in partners }, isSameDataCentre = false)
+        if (isFarDue) return send(far, isSameDataCentre = false)
+        val partners = source.partners()
+        val (receivers, others) = far.partition { it in partners }
+        send(receivers, isSameDataCentre = false)
+        sendStamps(others)
+    }
+
+    private fun sendStamps(others: List<VmIdentity>) {
+        val dependents = if (others.isEmpty()) emptySet() else source.dependents()
+        if (dependents.isNotEmpty()) network.sendStamp(others.filter { it.incarnation in dependents })
     }
 
     /** Peers of the data centre come first. The number is limited, since a VM with free capacity can take work from a few only. */
@@ -100,7 +112,7 @@
 
     companion object {
         /** Interval of the heartbeats to the peers of the data centre and to partners, in ms. */
-        private const val INTERVAL_MS = 150L
+        const val INTERVAL_MS = 150L
 
         /** Interval of the heartbeats to all other peers, in ms for each of them. */
         private const val FAR_INTERVAL_PER_PEER_MS = 30L
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -22,6 +22,7 @@
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.PeerReply
 import dandelionpoint.protocol.peer.RemoteRunRequest
+import dandelionpoint.protocol.peer.RequestExpired
 import dandelionpoint.protocol.peer.RunAnswer
 import dandelionpoint.protocol.peer.RunCancel
 import dandelionpoint.protocol.peer.VmIdentity
@@ -46,8 +47,8 @@
 
     fun isLive(vm: VmIdentity): Boolean
 
-    /** Time of the last heartbeat from the VM with [incarnation], null if it is lost or unknown. */
-    fun heardAt(incarnation: String): Long?
+    /** Time in ms since the VM with [incarnation] was certainly there with its clients, null if it is lost or unknown. */
+    fun demandAgeMs(incarnation: String): Long?
 
     /** True if a run of [task], dispatched by any VM, may be in progress in the cells of this VM. */
     fun hasTask(task: TaskRef): Boolean
@@ -132,9 +133,14 @@
 
     private suspend fun runRemotely(run: RemoteRun) {
         var mayHaveArrived = false
+        var expired = 0
         while (!run.isCancelled) {
             when (val reply = link.call(run.vm, request(run), REMOTE_RUN_TIMEOUT_MS)) {
-                is PeerReply.Answered -> return remoteEnded(run, reply.message)
+                is PeerReply.Answered -> {
+                    if (reply.message != RequestExpired) return remoteEnded(run, reply.message)
+                    if (++expired > MAX_EXPIRED_REQUESTS) return remoteEnded(run, RunEnd.NOT_STARTED, isReported = false)
+                    continue
+                }
 
                 is PeerReply.NotSent -> if (!mayHaveArrived) return remoteEnded(run, RunEnd.NOT_STARTED, isReported = false)
 
@@ -157,7 +163,7 @@
             this.run, payload, pool, demand, estimateMs, requiredLabel, rack, maxPerWorker, dispatch,
             remainingMs = run.deadlineAt - now,
             entryVm = entryVm,
-            entryAgeMs = view.heardAt(entryVm)?.let { now - it },
+            entryAgeMs = view.demandAgeMs(entryVm),
         )
     }
 
@@ -265,6 +271,9 @@
         /** Longest wait for the reply to one request for a remote run, which comes when the run has ended, in ms. */
         const val REMOTE_RUN_TIMEOUT_MS = 15_000L
 
+        /** The most requests for one run that are sent again because they took too long on their way. */
+        const val MAX_EXPIRED_REQUESTS = 3
+
         /** Pause before the request for a remote run is repeated, in ms. */
         const val REMOTE_RUN_RETRY_MS = 150L
 
--- a/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
@@ -7,6 +7,7 @@
 import dandelionpoint.coordination.fleet.Cell
 import dandelionpoint.coordination.fleet.Cells
 import dandelionpoint.coordination.fleet.FleetRules
+import dandelionpoint.coordination.fleet.RunDemand
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
 import dandelionpoint.protocol.Clock
@@ -23,7 +24,7 @@
 
 private val log = KotlinLogging.logger {}
 
-/** The cell controllers of this VM. [workers] returns the current list of workers; [heardAt] is that of the [Cell]s. */
+/** The cell controllers of this VM. [workers] returns the current list of workers; [demand] is that of the [Cell]s. */
 internal class OwnedCells(
     private val scope: CoroutineScope,
     private val port: WorkerPort,
@@ -31,7 +32,7 @@
     private val workers: () -> List<WorkerEntry>,
     private val clock: Clock,
     private val rules: FleetRules,
-    private val heardAt: (String) -> Long?,
+    private val demand: RunDemand,
 ) {
     private val controllers = ConcurrentHashMap<String, CellController>()
 
@@ -62,6 +63,9 @@
     /** True while a run of [task] is, or may be, in progress on a worker of any cell. */
     fun hasTask(task: TaskRef): Boolean = all().any { it.cell.hasTask(task) }
 
+    /** Incarnations of the VMs that dispatched the runs in progress in any cell. */
+    fun origins(): Set<String> = all().flatMapTo(HashSet()) { it.cell.origins }
+
     /** Number of runs on the workers of all cells, including those that were handed over. */
     fun runCount(): Int = all().sumOf { it.cell.runCount() }
 
@@ -93,7 +97,7 @@
 
     /** Takes ownership of [cell] under [token]. Workers that a [formerOwner] still uses are free once it releases them. */
     fun gain(cell: String, token: Long, formerOwner: VmIdentity?) {
-        val controller = CellController(scope, Cell(cell, token, rules, heardAt), port, listener, clock, rules)
+        val controller = CellController(scope, Cell(cell, token, rules, demand), port, listener, clock, rules)
         val ownWorkers = workers().filter { Cells.ofWorker(it) == cell }
         if (formerOwner != null) {
             formerOwners[cell] = formerOwner
--- a/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
@@ -4,8 +4,10 @@
 import dandelionpoint.coordination.fleet.AttemptKey
 import dandelionpoint.coordination.fleet.CellDirectory
 import dandelionpoint.coordination.fleet.DispatchRoute
+import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.FormerDispatchers
 import dandelionpoint.coordination.fleet.PeerLiveness
+import dandelionpoint.coordination.fleet.ReportUse
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.Submission
 import dandelionpoint.protocol.Clock
@@ -33,8 +35,9 @@
     val directory = CellDirectory()
     val formers = FormerDispatchers()
 
-    fun onHeartbeat(from: VmIdentity, heartbeat: FleetHeartbeat, now: Long) {
-        liveness.onHeartbeat(from, heartbeat, now)
+    /** [from] has made [heartbeat], which was read at [now], on the date [sentAt] or later. */
+    fun onHeartbeat(from: VmIdentity, heartbeat: FleetHeartbeat, now: Long, sentAt: Long) {
+        liveness.onHeartbeat(from, heartbeat, now, sentAt)
         directory.update(from, heartbeat.cells)
         remote.update(from, heartbeat)
     }
@@ -54,27 +57,32 @@
     val claims: CellClaims,
     val cells: OwnedCells,
     val routeOf: (String) -> DispatchRoute,
-    val onHeartbeat: (VmIdentity, FleetHeartbeat) -> Unit,
+    val onHeartbeat: (VmIdentity, FleetHeartbeat, Long) -> Unit,
     val configuration: () -> PeerMessage?,
 )
 
-/** Handles the messages of peers. [admission] decides whether requests are accepted. */
+/**
+ * Handles the messages of peers. [admission] decides whether requests are accepted. Invariant: what a message asks for or permits counts
+ * from when its sender made it, by the clock of [demand], never from when it was read; what it ends stays ended, and needs no date.
+ */
 internal class PeerRequests(
     private val state: PeerState,
     private val admission: WorkAdmission,
+    private val demand: PeerDemand,
     private val targets: PeerRequestTargets,
+    private val rules: FleetRules,
     private val clock: Clock,
 ) {
-    /** Handles [message]. Returns the reply, or null for a message that has none. */
-    suspend fun handle(from: VmIdentity, message: PeerMessage): PeerMessage? {
+    /** Handles [message], which [from] made at most [ageMs] ms ago. Returns the reply, or null for a message that has none. */
+    suspend fun handle(from: VmIdentity, message: PeerMessage, ageMs: Long): PeerMessage? {
         admission.check()
         return when (message) {
             is FleetHeartbeat -> {
-                targets.onHeartbeat(from, message)
+                targets.onHeartbeat(from, message, demand.now() - ageMs)
                 null
             }
 
-            is JobOffer -> dispatch(from, message)
+            is JobOffer -> dispatch(from, message, ageMs)
 
             is JobCancel -> {
                 targets.runner.cancel(AttemptKey(from.incarnation, message.jobId, message.attempt))
@@ -82,19 +90,17 @@
             }
 
             // Without an answer, the sender repeats the request if it still waits. The run may have started before the pause.
-            is RemoteRunRequest -> if (admission.acceptsPeers()) runHere(from, message) else null
+            is RemoteRunRequest -> if (admission.acceptsPeers()) runHere(from, message, ageMs) else null
 
             is RunCancel -> targets.remoteRuns.cancel(RunKey(from.incarnation, message.dispatch, message.run))
 
             is PeerMessage.ConfigPull -> targets.configuration()
 
-            is WorkersReleased -> {
-                onReport(from, message)
-                ReleaseAnswer
-            }
+            // Without an answer, the sender repeats the report.
+            is WorkersReleased -> if (onReport(from, message, demand.now() - ageMs)) ReleaseAnswer else null
 
             is CellHandover -> {
-                targets.claims.handover(message.cell, from)
+                if (ageMs <= MAX_HANDOVER_AGE_MS) targets.claims.handover(message.cell, from) else logExpired(from, message, ageMs)
                 null
             }
 
@@ -105,21 +111,31 @@
         }
     }
 
-    private suspend fun runHere(from: VmIdentity, request: RemoteRunRequest): PeerMessage {
+    private suspend fun runHere(from: VmIdentity, request: RemoteRunRequest, ageMs: Long): PeerMessage {
         val now = clock.millis()
+        val sentAt = demand.now() - ageMs
+        val isExpired = ageMs > rules.maxRequestAgeMs
+        if (isExpired) logExpired(from, request, ageMs)
         state.liveness.onMessage(from, now)
         val entryVm = request.entryVm
         val entryAgeMs = request.entryAgeMs
-        if (entryVm != null && entryAgeMs != null) state.liveness.onRelayed(entryVm, entryAgeMs, now)
-        return targets.remoteRuns.run(from, request)
+        if (entryVm != null && entryAgeMs != null) state.liveness.onReport(from.incarnation, entryVm, entryAgeMs, sentAt, now)
+        return targets.remoteRuns.run(from, request, demand.limited(sentAt - (entryAgeMs ?: 0)), isExpired)
     }
 
-    private suspend fun dispatch(from: VmIdentity, offer: JobOffer): JobAnswer {
+    private fun logExpired(from: VmIdentity, message: PeerMessage, ageMs: Long) =
+        log.info { "event=request_expired peer=${from.name} type=${message::class.simpleName} age_ms=$ageMs" }
+
+    private suspend fun dispatch(from: VmIdentity, offer: JobOffer, ageMs: Long): JobAnswer {
         val now = clock.millis()
         val submission =
             Submission(offer.job, offer.queue, from.incarnation, now - offer.ageMs, now + offer.remainingMs, offer.attempt)
         if (targets.runner.has(submission.attempt)) return JobAnswer(targets.runner.run(submission))
-        if (!admission.acceptsOffer(offer.ageMs)) return JobAnswer()
+        if (ageMs > rules.maxRequestAgeMs) {
+            logExpired(from, offer, ageMs)
+            return JobAnswer()
+        }
+        if (!admission.acceptsOffer(offer.ageMs + ageMs)) return JobAnswer()
         return when (val route = decidedRoute(offer.job.id)) {
             DispatchRoute.Here -> JobAnswer(targets.runner.run(submission))
             is DispatchRoute.At -> JobAnswer(redirect = route.vm)
@@ -138,13 +154,20 @@
         return route
     }
 
-    private fun onReport(from: VmIdentity, report: WorkersReleased) {
-        state.formers.onReport(report.cell, from, report.openJobs)
-        targets.cells.released(report.cell, report.workerIds)
-        targets.runner.wake()
+    /** Applies a report that [from] made on the date [sentAt] or later. Returns false if it has to be sent again. */
+    private fun onReport(from: VmIdentity, report: WorkersReleased, sentAt: Long): Boolean {
+        val use = state.formers.onReport(report.cell, from, report.openJobs, sentAt)
+        if (use == ReportUse.APPLIED) {
+            targets.cells.released(report.cell, report.workerIds)
+            targets.runner.wake()
+        }
+        return use != ReportUse.TOO_OLD
     }
 
     private companion object {
+        /** An offer of a cell that may be older is not followed: its owner would not take the loss of the cell for a handover, in ms. */
+        const val MAX_HANDOVER_AGE_MS = 1_500L
+
         /** Longest wait for the report of a cell's former owner, in ms. */
         const val MAX_REPORT_WAIT_MS = 200L
         const val REPORT_POLL_MS = 10L
--- a/src/main/kotlin/dandelionpoint/fleet/RemoteRunServer.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/RemoteRunServer.kt
@@ -1,17 +1,21 @@
 /*
  * Serves remote runs: runs in this VM's cells that belong to jobs which other VMs dispatch. A repeated request for the same run waits for
- * the same end; the most recent ends are stored, so that a request which is repeated after the end gets the same reply. Invariant: after a
- * cancellation, however the messages overtake each other, the run is not started, or is stopped.
+ * the same end; the most recent ends are stored, so that a request which is repeated after the end gets the same reply. Invariants: after a
+ * cancellation, however the messages overtake each other, the run is not started, or is stopped; and no run is started on a request that
+ * its sender may have given up meanwhile, however late it is read.
  */
 package dandelionpoint.fleet
 
 import dandelionpoint.coordination.fleet.ExpiringMap
+import dandelionpoint.coordination.fleet.RunDemand
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.RunEnd
 import dandelionpoint.protocol.millis
+import dandelionpoint.protocol.peer.FleetMessage
 import dandelionpoint.protocol.peer.RemoteRunRequest
+import dandelionpoint.protocol.peer.RequestExpired
 import dandelionpoint.protocol.peer.RunAnswer
 import dandelionpoint.protocol.peer.VmIdentity
 import kotlinx.coroutines.CompletableDeferred
@@ -31,13 +35,16 @@
     private val open = HashMap<RunKey, OpenRun>()
     private val recentEnds = ExpiringMap<RunKey, RunEnd>()
 
-    /** Starts the requested run for [from] and waits for its end. */
-    suspend fun run(from: VmIdentity, request: RemoteRunRequest): RunAnswer {
-        val order = order(from, request)
+    /**
+     * Starts the requested run for [from], which wanted it on the date [wantedAt] (see [RunDemand]), and waits for its end. A request that
+     * [isExpired] starts nothing, but gets the end of a run that an earlier request has started.
+     */
+    suspend fun run(from: VmIdentity, request: RemoteRunRequest, wantedAt: Long, isExpired: Boolean = false): FleetMessage {
+        val order = order(from, request, wantedAt)
         val own = OpenRun()
         val earlier = synchronized(lock) {
             recentEnds[order.key]?.let { return RunAnswer(it) }
-            open.putIfAbsent(order.key, own)
+            if (isExpired) open[order.key] ?: return RequestExpired else open.putIfAbsent(order.key, own)
         }
         if (earlier != null) return RunAnswer(earlier.end.await())
         if (!place(order)) ended(order.key, RunEnd.NOT_STARTED)
@@ -74,10 +81,10 @@
         return RunAnswer(RunEnd.NOT_STARTED)
     }
 
-    private fun order(from: VmIdentity, request: RemoteRunRequest) = with(request) {
+    private fun order(from: VmIdentity, request: RemoteRunRequest, wantedAt: Long) = with(request) {
         RunOrder(
             run, from.incarnation, pool, payload, demand, estimateMs, requiredLabel, rack, maxPerWorker,
-            dispatch = dispatch, entryVm = entryVm ?: from.incarnation,
+            dispatch = dispatch, entryVm = entryVm ?: from.incarnation, wantedAt = wantedAt,
         )
     }
 
--- a/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
@@ -21,10 +21,10 @@
 /**
  * Heartbeat, sent at fixed intervals. [cells] has the fencing tokens of the sender's cells by their names; VMs of other data centres get
  * only those outside the sender's data centre. [freeCapacity] lists the sender's workers with free capacity and [cores] counts the cores
- * of all usable ones, both by pool. [waitingJobs] is the number of jobs without a started task, by queue. [relayed] has the age in ms of
- * the last heartbeat from each VM whose clients wait for remote runs of the sender, by the incarnation. [cancelledJobs] and
- * [cancelledRuns] are the cancellations of the sender that no receiver has confirmed yet: since a heartbeat extends the leases of the
- * sender's runs, it must not overtake them.
+ * of all usable ones, both by pool. [waitingJobs] is the number of jobs without a started task, by queue. [relayed] says how long
+ * before this heartbeat each VM whose clients wait for remote runs of the sender was certainly alive, in ms, by the incarnation.
+ * [cancelledJobs] and [cancelledRuns] are the cancellations of the sender that no receiver has confirmed yet: since a heartbeat extends the
+ * leases of the sender's runs, it must not overtake them.
  */
 @Serializable
 @SerialName("beat")
@@ -73,7 +73,8 @@
  * Asks another VM to start a run at once in one of its cells, for a job that the sender dispatches. The reply, [RunAnswer], is sent when
  * the run has ended. [dispatch] is the sender's number of the submission: with it, a repeated request is recognised. The run is stopped if
  * it has not ended after [remainingMs] ms, when the client no longer waits. [entryVm] is the incarnation of the VM that the client is
- * connected to, null for the sender; the run is stopped if that VM is lost. Its last heartbeat reached the sender [entryAgeMs] ms ago.
+ * connected to, null for the sender; the run is stopped if that VM is lost. It was certainly there [entryAgeMs] ms before the request was
+ * made.
  */
 @Serializable
 @SerialName("RunLoan")
@@ -92,6 +93,14 @@
     val entryAgeMs: Long? = null,
 ) : FleetMessage
 
+/**
+ * Reply to a [RemoteRunRequest] that may have been made too long ago to be still wanted: neither it nor an earlier one for the same run
+ * starts the run. The sender, which now has a recent stamp of the receiver, may ask again.
+ */
+@Serializable
+@SerialName("RequestExpired")
+data object RequestExpired : FleetMessage
+
 /** Reply to [RemoteRunRequest]. */
 @Serializable
 @SerialName("RunAnswer")
--- a/src/main/kotlin/dandelionpoint/transport/peer/FrameCodec.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/FrameCodec.kt
@@ -1,6 +1,7 @@
 /*
- * Frames of the peer protocol: a 4-byte big-endian length, then that many bytes of CBOR. A length above the limit or bytes that cannot
- * be decoded end the connection, because the start of the next frame is unknown then.
+ * Frames of the peer protocol: a 4-byte big-endian length, then that many bytes, of which the first 8 are the frame's times and the others,
+ * its body, are CBOR. A frame without a body only carries the times. A length outside the limits or a body that cannot be decoded ends the
+ * connection, because the start of the next frame is unknown then.
  */
 package dandelionpoint.transport.peer
 
@@ -21,19 +22,22 @@
 /** A frame that violates the protocol. */
 internal class FrameException(message: String, cause: Throwable? = null) : Exception(message, cause)
 
-/** Reads and writes frames of at most [maxBytes]. The body of a frame must arrive within [bodyTimeoutMs] after its length. */
+/** The parts of a frame: its [times] and its encoded [body], which is empty if the frame only carries the times. */
+internal class RawFrame(val times: FrameTimes, val body: ByteArray)
+
+/** Reads and writes frames with a body of at most [maxBytes]. The body of a frame must arrive within [bodyTimeoutMs] after its length. */
 @OptIn(ExperimentalSerializationApi::class)
 internal class FrameCodec(private val maxBytes: Int = MAX_FRAME_BYTES, private val bodyTimeoutMs: Long = BODY_TIMEOUT_MS) {
     private val cbor = Cbor { ignoreUnknownKeys = true }
 
-    /** Returns the encoded frame, without its length. Throws [FrameException] if it is larger than the limit. */
+    /** Returns the encoded body of [frame]. Throws [FrameException] if it is larger than the limit. */
     fun encode(frame: PeerFrame): ByteArray {
         val bytes = cbor.encodeToByteArray(frame)
         if (bytes.size > maxBytes) throw FrameException("frame of ${bytes.size} bytes is above the limit of $maxBytes")
         return bytes
     }
 
-    /** Returns the frame in [bytes]. Throws [FrameException] if they cannot be decoded. */
+    /** Returns the frame whose body is [bytes]. Throws [FrameException] if they cannot be decoded. */
     fun decode(bytes: ByteArray): PeerFrame = try {
         cbor.decodeFromByteArray<PeerFrame>(bytes)
     } catch (e: IllegalArgumentException) {
@@ -43,27 +47,35 @@
     }
 
     /** Waits for the next frame and returns it. */
-    suspend fun read(channel: ByteReadChannel): PeerFrame = decode(readBytes(channel))
-
-    /** Waits for the next frame and returns it as [decode] expects it. */
-    suspend fun readBytes(channel: ByteReadChannel): ByteArray {
+    suspend fun read(channel: ByteReadChannel): RawFrame {
         val length = channel.readInt()
-        if (length !in 1..maxBytes) throw FrameException("frame length $length is outside 1 to $maxBytes")
-        // Most frames arrive whole, so that reading their body needs no timer.
-        if (channel.availableForRead >= length) return channel.readByteArray(length)
-        return withTimeout(bodyTimeoutMs) { channel.readByteArray(length) }
+        val lengths = TIMES_BYTES..TIMES_BYTES + maxBytes
+        if (length !in lengths) throw FrameException("frame length $length is outside ${lengths.first} to ${lengths.last}")
+        // Most frames arrive whole, so that reading them needs no timer.
+        if (channel.availableForRead >= length) return readParts(channel, length)
+        return withTimeout(bodyTimeoutMs) { readParts(channel, length) }
     }
 
-    /** Writes [bytes] as one frame and flushes it. */
-    suspend fun write(channel: ByteWriteChannel, bytes: ByteArray) {
-        channel.writeInt(bytes.size)
-        channel.writeByteArray(bytes)
+    private suspend fun readParts(channel: ByteReadChannel, length: Int): RawFrame {
+        val times = FrameTimes(stamp = channel.readInt(), echo = channel.readInt())
+        return RawFrame(times, channel.readByteArray(length - TIMES_BYTES))
+    }
+
+    /** Writes [frame] and flushes it. */
+    suspend fun write(channel: ByteWriteChannel, frame: RawFrame) {
+        channel.writeInt(TIMES_BYTES + frame.body.size)
+        channel.writeInt(frame.times.stamp)
+        channel.writeInt(frame.times.echo)
+        channel.writeByteArray(frame.body)
         channel.flush()
     }
 
     companion object {
-        /** Largest frame, in bytes. */
+        /** Largest body of a frame, in bytes. */
         const val MAX_FRAME_BYTES = 8 * 1024 * 1024
+
+        /** Size of the times at the head of a frame, in bytes. */
+        const val TIMES_BYTES = 2 * Int.SIZE_BYTES
         private const val BODY_TIMEOUT_MS = 10_000L
         private const val MAX_REASON_CHARS = 200
     }
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerConnection.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerConnection.kt
@@ -27,11 +27,19 @@
 
 private val log = KotlinLogging.logger {}
 
-/** The local side of a connection: its cluster and identity, and the VMs that it is connected to. */
-internal data class LocalPeer(val cluster: String, val vm: VmIdentity, val known: () -> Set<VmIdentity> = { emptySet() })
-
-/** Handles a message from a peer. Returns the reply, or null for a message that has none. */
-internal typealias PeerHandler = suspend (from: VmIdentity, message: PeerMessage) -> PeerMessage?
+/** The local side of a connection: its cluster and identity, the stamps of its frames, and the VMs that it is connected to. */
+internal data class LocalPeer(
+    val cluster: String,
+    val vm: VmIdentity,
+    val stamps: FrameStamps,
+    val known: () -> Set<VmIdentity> = { emptySet() },
+)
+
+/**
+ * Handles a message from a peer, which the peer has made at most [ageMs] ms ago ([FrameStamps.UNKNOWN_AGE_MS] if unknown). Returns the
+ * reply, or null for a message that has none.
+ */
+internal typealias PeerHandler = suspend (from: VmIdentity, message: PeerMessage, ageMs: Long) -> PeerMessage?
 
 /** An open connection. [handshake] must succeed before any other function is called. */
 internal class PeerConnection(
@@ -44,8 +52,8 @@
     private val input = socket.openReadChannel()
     private val output = socket.openWriteChannel(autoFlush = false)
 
-    /** Encoded frames that wait to be written. */
-    private val outgoing = Channel<ByteArray>(SEND_QUEUE_FRAMES)
+    /** Encoded frames that wait to be written, with the times at which they were made. */
+    private val outgoing = Channel<RawFrame>(SEND_QUEUE_FRAMES)
 
     /** Calls that wait for a reply, by their id. */
     private val pendingCalls = ConcurrentHashMap<Long, CompletableDeferred<PeerReply>>()
@@ -67,14 +75,16 @@
         val hello = PeerMessage.Hello(PROTOCOL_VERSION, local.cluster, local.vm, local.known().toList())
         val answer =
             withTimeout(HELLO_TIMEOUT_MS) {
-                codec.write(output, codec.encode(PeerFrame(0, message = hello)))
-                codec.read(input).message
+                codec.write(output, RawFrame(local.stamps.timesFor(null), codec.encode(PeerFrame(0, message = hello))))
+                codec.read(input)
             }
-        val vm = (answer as? PeerMessage.Hello)?.vm
-        val error = handshakeError(answer)
+        val message = codec.decode(answer.body).message
+        val vm = (message as? PeerMessage.Hello)?.vm
+        val error = handshakeError(message)
         if (vm == null || error != null) throw FrameException(error ?: "first frame is not Hello")
         remote = vm
-        return (answer as PeerMessage.Hello).known
+        local.stamps.onRead(vm.incarnation, answer.times)
+        return (message as PeerMessage.Hello).known
     }
 
     private fun handshakeError(answer: PeerMessage): String? = when {
@@ -90,7 +100,11 @@
         val writer = scope.launch(Dispatchers.Unconfined) { writeFrames() }
         val frames = FrameReader(input, codec)
         try {
-            while (true) onFrame(frames.next(), scope)
+            while (true) {
+                val read = frames.next()
+                val ageMs = local.stamps.onRead(remote.incarnation, read.times)
+                read.frame?.let { onFrame(it, ageMs, scope) }
+            }
         } finally {
             writer.cancel()
             close()
@@ -99,9 +113,9 @@
 
     private suspend fun writeFrames() {
         try {
-            for (bytes in outgoing) {
-                codec.write(output, bytes)
-                traffic.sent(bytes.size)
+            for (frame in outgoing) {
+                codec.write(output, frame)
+                traffic.sent(frame.body.size)
             }
         } catch (e: IOException) {
             log.debug { "event=peer_write_failed peer=${remote.name} reason=\"${e.message}\"" }
@@ -110,38 +124,45 @@
     }
 
     /** Messages without a reply are handled in the order in which they arrive; calls, which may take long, run beside each other. */
-    private suspend fun onFrame(frame: PeerFrame, scope: CoroutineScope) {
+    private suspend fun onFrame(frame: PeerFrame, ageMs: Long, scope: CoroutineScope) {
         traffic.received()
         when {
             frame.isReply -> pendingCalls.remove(frame.call)?.complete(PeerReply.Answered(frame.message))
-            frame.call == 0L -> handle(frame.message)
-            else -> scope.launch(start = CoroutineStart.UNDISPATCHED) { answer(frame) }
+            frame.call == 0L -> handle(frame.message, ageMs)
+            else -> scope.launch(start = CoroutineStart.UNDISPATCHED) { answer(frame, ageMs) }
         }
     }
 
-    private suspend fun answer(call: PeerFrame) {
-        val reply = handle(call.message) ?: return
+    private suspend fun answer(call: PeerFrame, ageMs: Long) {
+        val reply = handle(call.message, ageMs) ?: return
         enqueue(PeerFrame(call.call, isReply = true, message = reply))
     }
 
-    private suspend fun handle(message: PeerMessage): PeerMessage? {
+    private suspend fun handle(message: PeerMessage, ageMs: Long): PeerMessage? {
         if (isDropped) return null
-        val reply = runCatching { handler(remote, message) }
+        val reply = runCatching { handler(remote, message, ageMs) }
         val failure = reply.exceptionOrNull()
         if (failure != null && failure !is CancellationException) log.warn(failure) { "event=peer_handler_failed peer=${remote.name}" }
         return reply.getOrNull()
     }
 
-    private fun enqueue(frame: PeerFrame): Boolean = outgoing.trySend(codec.encode(frame)).isSuccess
+    private fun enqueue(frame: PeerFrame): Boolean = enqueue(codec.encode(frame))
+
+    private fun enqueue(body: ByteArray): Boolean = outgoing.trySend(RawFrame(local.stamps.timesFor(remote.incarnation), body)).isSuccess
 
     /** Sends [message] without a reply; discards it if the queue is full or the connection is closed. */
     fun send(message: PeerMessage) {
         enqueue(PeerFrame(0, message = message))
     }
 
-    /** Sends an encoded frame; discards it if the queue is full or the connection is closed. */
-    fun send(frame: ByteArray) {
-        outgoing.trySend(frame)
+    /** Sends a frame with an encoded [body]; discards it if the queue is full or the connection is closed. */
+    fun send(body: ByteArray) {
+        enqueue(body)
+    }
+
+    /** Sends a frame that only carries the times. */
+    fun sendStamp() {
+        enqueue(NO_BODY)
     }
 
     /** Sends [message] and waits up to [timeoutMs] for the reply. */
@@ -173,7 +194,8 @@
 
     companion object {
         /** Version of the peer protocol. Connections to peers with another version are refused. */
-        const val PROTOCOL_VERSION = 1
+        const val PROTOCOL_VERSION = 2
+        private val NO_BODY = ByteArray(0)
         private const val SEND_QUEUE_FRAMES = 4_096
         private const val HELLO_TIMEOUT_MS = 2_000L
     }
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -4,6 +4,7 @@
  */
 package dandelionpoint.transport.peer
 
+import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.peer.PeerFrame
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.PeerReply
@@ -45,9 +46,11 @@
     private val handler: PeerHandler,
     private val events: PeerEvents,
     private val codec: FrameCodec = FrameCodec(),
+    clock: Clock = Clock.System,
 ) : PeerTransport {
     /** Counts of frames and bytes. */
     val traffic = PeerTraffic()
+    private val stamps = FrameStamps(clock)
     private val selector = SelectorManager(Dispatchers.IO)
 
     /** Jobs that open the outbound connection to an address, and reopen it when it ends. */
@@ -70,7 +73,7 @@
     }
 
     override fun start(vm: VmIdentity) {
-        local = LocalPeer(cluster, vm) { connections.keys.shuffled().take(MAX_KNOWN_IN_HELLO).toSet() }
+        local = LocalPeer(cluster, vm, stamps) { connections.keys.shuffled().take(MAX_KNOWN_IN_HELLO).toSet() }
         scope.launch {
             while (isActive) {
                 val socket = runCatching { server.accept() }.getOrElse { return@launch }
@@ -175,7 +178,10 @@
         receivers.forEach { connections[it]?.send(bytes) }
     }
 
+    override fun sendStamp(receivers: Collection<VmIdentity>) = receivers.forEach { connections[it]?.sendStamp() }
+
     override fun drop(vm: VmIdentity) {
+        stamps.forget(vm.incarnation)
         connections[vm]?.drop()
         inboundConnections.filter { it.remote == vm }.forEach { it.drop() }
     }
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerTransport.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerTransport.kt
@@ -22,6 +22,12 @@
     /** Sends [message] to each of [receivers] without waiting. */
     fun send(receivers: Collection<VmIdentity>, message: PeerMessage)
 
+    /**
+     * Sends each of [receivers] a frame without a message, so that the age of its next messages is known to be low. Unlike a heartbeat,
+     * it is no sign that this VM still wants anything.
+     */
+    fun sendStamp(receivers: Collection<VmIdentity>)
+
     /** Peers with an open outbound connection. */
     fun connected(): Set<VmIdentity>
 
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/JobOwnershipTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/JobOwnershipTest.kt
@@ -58,25 +58,35 @@
         describe("after a handover") {
             it("the new owner dispatches nothing before the former one has told which jobs it has in progress") {
                 val vm = VmUnderTest(token = 5)
-                vm.formers.gained(CELL, OWNER)
+                vm.formers.gained(CELL, OWNER, now = 0)
                 vm.route() shouldBe DispatchRoute.Undecided
-                vm.formers.onReport(CELL, OWNER, setOf(JOB_ID))
+                vm.formers.onReport(CELL, OWNER, setOf(JOB_ID), sentAt = 1)
                 vm.route() shouldBe DispatchRoute.At(OWNER)
-                vm.formers.onReport(CELL, OWNER, emptySet())
+                vm.formers.onReport(CELL, OWNER, emptySet(), sentAt = 2)
                 vm.route() shouldBe DispatchRoute.Here
             }
 
             it("a report of another VM than the former owner counts for nothing") {
                 val vm = VmUnderTest(token = 5)
-                vm.formers.gained(CELL, OWNER)
-                vm.formers.onReport(CELL, RIVAL, emptySet())
+                vm.formers.gained(CELL, OWNER, now = 0)
+                vm.formers.onReport(CELL, RIVAL, emptySet(), sentAt = 1)
                 vm.route() shouldBe DispatchRoute.Undecided
                 vm.formers.openJobs(CELL).shouldBeNull()
             }
 
+            // Its sender may have owned the cell again since, and have further jobs and runs there.
+            it("a report that may have been made before the cell was taken over counts for nothing, and is to be sent again") {
+                val vm = VmUnderTest(token = 5)
+                vm.formers.gained(CELL, OWNER, now = 100)
+                vm.formers.onReport(CELL, OWNER, emptySet(), sentAt = 99) shouldBe ReportUse.TOO_OLD
+                vm.route() shouldBe DispatchRoute.Undecided
+                vm.formers.onReport(CELL, OWNER, emptySet(), sentAt = 100) shouldBe ReportUse.APPLIED
+                vm.route() shouldBe DispatchRoute.Here
+            }
+
             it("the loss of the former owner ends the wait, since its jobs have ended with it") {
                 val vm = VmUnderTest(token = 5)
-                vm.formers.gained(CELL, OWNER)
+                vm.formers.gained(CELL, OWNER, now = 0)
                 vm.formers.peerLost(OWNER)
                 vm.route() shouldBe DispatchRoute.Here
             }
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/PeerLivenessTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/PeerLivenessTest.kt
@@ -52,11 +52,11 @@
         describe("the time of the last heartbeat") {
             it("is unknown before the first heartbeat and after the loss of the VM") {
                 val liveness = PeerLiveness { 700 }
-                liveness.heardAt(PEER.incarnation).shouldBeNull()
+                liveness.aliveAt(PEER.incarnation).shouldBeNull()
                 liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 10)
-                liveness.heardAt(PEER.incarnation) shouldBe 10
+                liveness.aliveAt(PEER.incarnation) shouldBe 10
                 liveness.removeLost(now = 711) shouldBe listOf(PEER)
-                liveness.heardAt(PEER.incarnation).shouldBeNull()
+                liveness.aliveAt(PEER.incarnation).shouldBeNull()
             }
 
             it("is not changed by a pause of this process, after which the VM is declared lost later") {
@@ -64,26 +64,56 @@
                 liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 10)
                 liveness.onProcessPause(pauseMs = 500, now = 600)
                 liveness.removeLost(now = 1_100).shouldBeEmpty()
-                liveness.heardAt(PEER.incarnation) shouldBe 10
+                liveness.aliveAt(PEER.incarnation) shouldBe 10
             }
         }
 
-        describe("a heartbeat that another VM has received") {
+        // It lay in the socket while this VM was paused, and its sender was killed meanwhile.
+        describe("a heartbeat that was read late") {
+            it("shows that its sender was alive when it was made, not when it was read") {
+                val liveness = PeerLiveness { 700 }
+                liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 500, sentAt = 40)
+                liveness.aliveAt(PEER.incarnation) shouldBe 40
+            }
+
+            it("does not take back what a later one has shown, which it may follow over another connection") {
+                val liveness = PeerLiveness { 700 }
+                liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 500, sentAt = 490)
+                liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 510, sentAt = 40)
+                liveness.aliveAt(PEER.incarnation) shouldBe 490
+            }
+
+            it("dates what it reports of other VMs as well") {
+                val liveness = PeerLiveness { 700 }
+                liveness.onHeartbeat(PEER, FleetHeartbeat(relayed = mapOf("entry" to 10L)), now = 500, sentAt = 40)
+                liveness.reportedAliveAt(PEER.incarnation, "entry") shouldBe 30
+            }
+        }
+
+        describe("a VM that another one has reported as alive") {
             // A VM of another data centre hears of the client's VM through the dispatching VM only. Without it, no lease could be given.
-            it("counts with its age, and only if it is newer than what is known") {
+            it("counts from when that one had heard from it, and only if this is later than what is known") {
                 val liveness = PeerLiveness { 700 }
-                liveness.onRelayed("entry", ageMs = 100, now = 1_000)
-                liveness.heardAt("entry") shouldBe 900
-                liveness.onRelayed("entry", ageMs = 500, now = 1_200)
-                liveness.heardAt("entry") shouldBe 900
+                liveness.onReport(PEER.incarnation, "entry", ageMs = 100, sentAt = 1_000, now = 1_000)
+                liveness.reportedAliveAt(PEER.incarnation, "entry") shouldBe 900
+                liveness.onReport(PEER.incarnation, "entry", ageMs = 500, sentAt = 1_200, now = 1_200)
+                liveness.reportedAliveAt(PEER.incarnation, "entry") shouldBe 900
                 liveness.onHeartbeat(PEER, FleetHeartbeat(relayed = mapOf("entry" to 10L)), now = 1_300)
-                liveness.heardAt("entry") shouldBe 1_290
+                liveness.reportedAliveAt(PEER.incarnation, "entry") shouldBe 1_290
             }
 
             it("from the future of this VM's clock is not believed") {
                 val liveness = PeerLiveness { 700 }
-                liveness.onRelayed("entry", ageMs = -5_000, now = 1_000)
-                liveness.heardAt("entry") shouldBe 1_000
+                liveness.onReport(PEER.incarnation, "entry", ageMs = -5_000, sentAt = 1_000, now = 1_000)
+                liveness.reportedAliveAt(PEER.incarnation, "entry") shouldBe 1_000
+            }
+
+            // A third VM cannot know that the dispatching VM has not been told of the end of a job.
+            it("counts for the runs of the VM that has reported it only") {
+                val liveness = PeerLiveness { 700 }
+                liveness.onReport("another", "entry", ageMs = 0, sentAt = 1_000, now = 1_000)
+                liveness.reportedAliveAt(PEER.incarnation, "entry").shouldBeNull()
+                liveness.aliveAt("entry").shouldBeNull()
             }
         }
     })
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/WorkerLeaseTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/WorkerLeaseTest.kt
@@ -31,7 +31,13 @@
 /** The time in ms that a lease of [leaseMs] takes on a worker whose clock runs 2 % slow. */
 private fun slowest(leaseMs: Long) = leaseMs * 100 / 98 + 1
 
-private fun cell(heardAt: (String) -> Long? = { Long.MAX_VALUE / 2 }) = Cell("akl-a", TOKEN, RULES, heardAt).apply { receiveRunLists("w") }
+/** [heardAt] is the date of the last message from the VM with an incarnation. */
+private class Demand(private val heardAt: (String) -> Long?) : RunDemand by RunDemand.Always {
+    override fun wantedAt(order: RunOrder): Long? = minOf(heardAt(order.origin) ?: return null, heardAt(order.entryVm) ?: return null)
+}
+
+private fun cell(heardAt: (String) -> Long? = { Long.MAX_VALUE / 2 }) =
+    Cell("akl-a", TOKEN, RULES, Demand(heardAt)).apply { receiveRunLists("w") }
 
 private fun Cell.leaseUntil(id: String, now: Long): Long? = checkNotNull(planLease(id, now)).call.leaseUntilMs
 
@@ -44,7 +50,7 @@
                 val cell = cell { heard[it] }
                 cell.started(order())
                 checkNotNull(cell.leaseUntil("w", now = 690)) shouldBeLessThanOrEqual RULES.leaseMs
-                slowest(RULES.leaseMs + RULES.heartbeatDelayMs) + MESSAGES_MS shouldBeLessThan CLIENT_RETRY_MS
+                slowest(RULES.leaseMs + RULES.joinMarginMs) + MESSAGES_MS shouldBeLessThan CLIENT_RETRY_MS
             }
 
             // As above, when the VM is declared lost but the stops of its runs do not reach the worker.
@@ -80,6 +86,36 @@
             }
         }
 
+        describe("a run that has not been wanted for long") {
+            // Its worker's lease would end because of it, and with the lease the other runs there.
+            it("is stopped before the lease ends, and the other runs of its worker are not") {
+                val heard = mutableMapOf(ORIGIN to 0L, "vm-2" to 0L)
+                val cell = cell { heard[it] }
+                cell.started(order())
+                cell.started(order("b", origin = "vm-2"))
+                heard["vm-2"] = 790
+                cell.tick(RULES.demandStaleMs).shouldBeEmpty()
+                cell.tick(RULES.demandStaleMs + 1).stops() shouldBe listOf(order().run)
+            }
+
+            // After a step of the wall clock or a pause, all demand may seem older than a lease until further heartbeats arrive.
+            it("since one moment to the next is stopped only if no heartbeat confirms it meanwhile") {
+                val heard = mutableMapOf(ORIGIN to 0L, "vm-2" to 0L)
+                val cell = cell { heard[it] }
+                cell.started(order())
+                cell.started(order("b", origin = "vm-2"))
+                cell.tick(RULES.leaseMs + 1).shouldBeEmpty()
+                heard["vm-2"] = RULES.leaseMs + 300
+                cell.tick(RULES.leaseMs + 400).stops() shouldBe listOf(order().run)
+            }
+
+            it("when its request was read is not started under its date, although its VMs are alive") {
+                val cell = cell { 0 }
+                cell.place(order().copy(wantedAt = 60), now = 600).shouldBeNull()
+                cell.place(order().copy(wantedAt = 550), now = 600).shouldNotBeNull()
+            }
+        }
+
         describe("the VM that a client is connected to") {
             // VMs lost in series: first the VM of the client, then the dispatching VM, which stops the runs when the first one is lost.
             it("is heard from no longer: the lease is limited by its last heartbeat too, whether or not it dispatched the run") {
--- a/src/test/kotlin/dandelionpoint/fleet/CancellationTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/CancellationTest.kt
@@ -72,7 +72,7 @@
 
     override fun isLive(vm: VmIdentity) = isOwnerLive
 
-    override fun heardAt(incarnation: String): Long? = 0
+    override fun demandAgeMs(incarnation: String): Long? = 0
 
     override fun hasTask(task: TaskRef) = false
 
--- a/src/test/kotlin/dandelionpoint/fleet/CellHandoversTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/CellHandoversTest.kt
@@ -4,6 +4,7 @@
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.FormerDispatchers
 import dandelionpoint.coordination.fleet.POOL
+import dandelionpoint.coordination.fleet.RunDemand
 import dandelionpoint.coordination.fleet.RunOrder
 import dandelionpoint.coordination.fleet.order
 import dandelionpoint.coordination.fleet.worker
@@ -59,7 +60,7 @@
     @Volatile
     var openJobs = setOf("job")
     private val workers = MemoryWorkers(runMs = { RUN_MS }).apply { add(WORKER) }
-    val cells = OwnedCells(scope, workers, this, { listOf(WORKER) }, Clock.System, FleetRules(), { Clock.System.millis() })
+    val cells = OwnedCells(scope, workers, this, { listOf(WORKER) }, Clock.System, FleetRules(), RunDemand.Always)
     val handovers = CellHandovers(scope, link, cells, formers, { openJobs }, { true }, Clock.System)
 
     override fun ended(order: RunOrder, end: RunEnd, workerId: String) = Unit
@@ -101,11 +102,11 @@
 
             it("reports nothing before the jobs of a still earlier owner are known, and then those as well") {
                 FormerOwner().use { vm ->
-                    vm.formers.gained(CELL, SUCCESSOR.copy(name = "earlier"))
+                    vm.formers.gained(CELL, SUCCESSOR.copy(name = "earlier"), now = 0)
                     vm.handOver()
                     vm.tickFor(200)
                     vm.link.confirmed.shouldBeEmpty()
-                    vm.formers.onReport(CELL, SUCCESSOR.copy(name = "earlier"), setOf("older"))
+                    vm.formers.onReport(CELL, SUCCESSOR.copy(name = "earlier"), setOf("older"), sentAt = 1)
                     vm.tickFor(200)
                     vm.link.confirmed.any { it.openJobs == setOf("job", "older") }.shouldBeTrue()
                 }
--- a/src/test/kotlin/dandelionpoint/fleet/FleetVmPauseTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/FleetVmPauseTest.kt
@@ -64,7 +64,7 @@
     val clock = PausableClock()
     val vm = fleet.vm("vm", CELL, clock)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val peer = PeerNetwork(scope, "fleet", { _, _ -> null }, NoConnectionEvents)
+    private val peer = PeerNetwork(scope, "fleet", { _, _, _ -> null }, NoConnectionEvents)
     private lateinit var identity: VmIdentity
 
     suspend fun start() {
--- a/src/test/kotlin/dandelionpoint/fleet/HeartbeatSenderTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/HeartbeatSenderTest.kt
@@ -25,10 +25,18 @@
 private val FAR = List(60) { vm("far-$it", "ham-a") }
 private val PARTNER = vm("partner", "ham-a")
 
+/** A peer of another data centre for which this VM has runs in progress. */
+private val DEPENDENT = FAR.first()
+
 /** Counts the heartbeats to each peer. */
 private class CountingTransport : PeerTransport {
     val sent = HashMap<VmIdentity, Int>()
 
+    /** The same for frames that only carry a stamp. */
+    val stamps = HashMap<VmIdentity, Int>()
+
+    override fun sendStamp(receivers: Collection<VmIdentity>) = receivers.forEach { stamps.merge(it, 1, Int::plus) }
+
     override fun send(receivers: Collection<VmIdentity>, message: PeerMessage) = receivers.forEach { sent.merge(it, 1, Int::plus) }
 
     override fun connected() = setOf(NEAR, PARTNER) + FAR
@@ -55,6 +63,8 @@
 
     override fun partners() = setOf(PARTNER)
 
+    override fun dependents() = setOf(DEPENDENT.incarnation)
+
     override fun isWaiting(vm: VmIdentity) = vm in waiting
 
     override fun isAnyWaiting() = waiting.isNotEmpty()
@@ -84,6 +94,15 @@
             }
         }
 
+        // Without its stamps they could not show how recent their heartbeats are, and the leases of their runs would end.
+        it("sends stamps often to VMs of other data centres that have runs or jobs in progress here, and to no others") {
+            withSender { transport, _ ->
+                delay(6_000)
+                transport.stamps.keys shouldBe setOf(DEPENDENT)
+                transport.stamps.getValue(DEPENDENT) + transport.sent.getValue(DEPENDENT) shouldBeInRange 35..40
+            }
+        }
+
         it("tells the peers with waiting jobs of free capacity at once, and no others") {
             withSender(Source(waiting = setOf(NEAR))) { transport, sender ->
                 delay(160)
--- a/src/test/kotlin/dandelionpoint/fleet/JobForwarderTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/JobForwarderTest.kt
@@ -41,7 +41,7 @@
 
     override fun isLive(vm: VmIdentity) = true
 
-    override fun heardAt(incarnation: String): Long? = null
+    override fun demandAgeMs(incarnation: String): Long? = null
 
     override fun hasTask(task: TaskRef) = false
 
--- a/src/test/kotlin/dandelionpoint/fleet/OneRunPerTaskTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/OneRunPerTaskTest.kt
@@ -22,7 +22,7 @@
 /** Number of seeds of a scenario whose first violation is printed. */
 private const val MAX_REPORTS = 3
 
-private fun simulateAll(seed: Long) = FleetSimulation(seed, FaultKind.entries).also { it.run() }
+private fun simulateAll(seed: Long) = FleetSimulation(seed, FaultKind.SIMPLE).also { it.run() }
 
 private fun check(scenario: SimulationScenario) {
     val failingSeeds = mutableListOf<Long>()
--- a/src/test/kotlin/dandelionpoint/fleet/RemoteRunServerTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/RemoteRunServerTest.kt
@@ -10,6 +10,7 @@
 import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.protocol.peer.RemoteRunRequest
+import dandelionpoint.protocol.peer.RequestExpired
 import dandelionpoint.protocol.peer.RunAnswer
 import dandelionpoint.protocol.peer.VmIdentity
 import dandelionpoint.standin.fleet.MemoryWorkers
@@ -66,7 +67,8 @@
 
     suspend fun cancel(request: RemoteRunRequest) = server.cancel(RunKey(DISPATCHER.incarnation, request.dispatch, request.run))
 
-    fun run(request: RemoteRunRequest) = scope.async { server.run(DISPATCHER, request) }
+    fun run(request: RemoteRunRequest, isExpired: Boolean = false) =
+        scope.async { server.run(DISPATCHER, request, wantedAt = System.nanoTime() / 1_000_000, isExpired) }
 
     fun close() = scope.cancel()
 }
@@ -78,7 +80,7 @@
 private class RequestDuringCancellation : Clock {
     val starts = AtomicInteger()
     private val server = RemoteRunServer({ starts.incrementAndGet() > 0 }, {}, this)
-    private val requester = thread(start = false) { runBlocking { server.run(DISPATCHER, request(index = 0)) } }
+    private val requester = thread(start = false) { runBlocking { server.run(DISPATCHER, request(index = 0), wantedAt = 0) } }
 
     override fun wallMs(): Long = 0
 
@@ -121,6 +123,27 @@
             }
         }
 
+        // The request was held up in a cut; its sender gave the job up, and the client has submitted it elsewhere.
+        describe("a request that is read too late") {
+            it("starts nothing, and may be sent again") {
+                val owner = CellOwner(listOf(worker("w", "rack-1"))).apply { awaitCapacity() }
+                owner.run(request(index = 0), isExpired = true).await() shouldBe RequestExpired
+                owner.workers.starts().shouldBeEmpty()
+                owner.run(request(index = 0)).await() shouldBe RunAnswer(RunEnd.DONE)
+                owner.close()
+            }
+
+            it("gets the end of the run that an earlier request has started") {
+                val owner = CellOwner(listOf(worker("w", "rack-1"))).apply { awaitCapacity() }
+                val first = owner.run(request(index = 0))
+                eventually(5.seconds) { owner.workers.starts().size shouldBe 1 }
+                owner.run(request(index = 0), isExpired = true).await() shouldBe RunAnswer(RunEnd.DONE)
+                first.await() shouldBe RunAnswer(RunEnd.DONE)
+                owner.workers.starts().size shouldBe 1
+                owner.close()
+            }
+        }
+
         describe("the cancellation of a remote run") {
             // Guards against a run that is started after its cancellation, because the request was repeated or delayed.
             it("that arrives before the request makes the request start nothing") {
--- a/src/test/kotlin/dandelionpoint/fleet/SimulationScenario.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/SimulationScenario.kt
@@ -7,6 +7,7 @@
 import dandelionpoint.fleet.simulation.FleetSimulation
 import dandelionpoint.fleet.simulation.FleetSize
 import dandelionpoint.fleet.simulation.Resubmission
+import dandelionpoint.fleet.simulation.Workload
 import org.slf4j.LoggerFactory
 
 /** Simulations with faults of [kinds]. [failedSeeds] have shown violations. */
@@ -16,13 +17,14 @@
     private vararg val failedSeeds: Long,
     val resubmission: Resubmission = Resubmission.LATER_ANYWHERE,
     val size: FleetSize = FleetSize.SMALL,
+    val workload: Workload = Workload.SHORT,
 ) {
     constructor(kind: FaultKind, vararg failedSeeds: Long) : this("with faults of the kind $kind", listOf(kind), *failedSeeds)
 
     /** Seeds that have shown violations; others, if none has. */
     val keptSeeds: List<Long> get() = failedSeeds.toList().ifEmpty { listOf(1L, 2L) }
 
-    fun simulate(seed: Long): FleetSimulation = FleetSimulation(seed, kinds, resubmission, size).also { it.run() }
+    fun simulate(seed: Long): FleetSimulation = FleetSimulation(seed, kinds, resubmission, size, workload).also { it.run() }
 }
 
 private val RESETS = listOf(FaultKind.CLIENT_CONNECTION_RESET, FaultKind.VM_CONNECTIONS_RESET, FaultKind.PEER_CONNECTION_RESET)
@@ -34,14 +36,21 @@
     SimulationScenario(FaultKind.VM_CONNECTIONS_RESET, 1, 3),
     SimulationScenario(FaultKind.CLIENT_CONNECTION_RESET),
     SimulationScenario(FaultKind.SILENT_CONNECTION, 1, 7),
-    SimulationScenario(FaultKind.ONE_WAY_CUT, 30, 57),
+    SimulationScenario(FaultKind.ONE_WAY_CUT, 30, 57, 2002, 2018),
     SimulationScenario(FaultKind.VM_KILLED, 74, 92),
     SimulationScenario(FaultKind.VM_LOST),
     SimulationScenario(FaultKind.VM_PAUSED, 6, 7),
     SimulationScenario(FaultKind.STOPS_LOST, 3, 4),
     SimulationScenario(FaultKind.WORKER_CALLS_LOST),
     SimulationScenario(FaultKind.WORKER_CALLS_LATE),
-    SimulationScenario("with faults of all kinds", FaultKind.entries, 9, 14),
+    SimulationScenario("with faults of all kinds", FaultKind.SIMPLE, 9, 14),
+    // Guards against a lease that counts from when a heartbeat is read, although its sender was killed before.
+    long("with VMs killed while others are paused", listOf(FaultKind.VM_KILLED_BESIDE_PAUSE), 96, 109, 233),
+    // Guards against a VM that resumes and reports itself alive before it has looked whether its clients have left.
+    long("with VMs killed after a pause", listOf(FaultKind.VM_KILLED_AFTER_PAUSE), 150, 156, 268),
+    // Guards against a request that was held up and is acted on as if it had been sent when it is read.
+    long("with long runs and one-way cuts", listOf(FaultKind.ONE_WAY_CUT), 26, 27, 142, 145),
+    long("with long runs and faults of all kinds", FaultKind.entries, 62, 345),
     // Guards against two VMs that dispatch one job: a client whose connection was reset comes again, through another VM, before its first
     // submission has been cancelled.
     SimulationScenario("with clients that come again at once after a reset", RESETS, resubmission = Resubmission.SOON_IN_DATA_CENTRE),
@@ -60,10 +69,14 @@
         large("killed VMs", listOf(FaultKind.VM_KILLED)),
         large("killed VMs and resets", listOf(FaultKind.VM_KILLED) + RESETS),
         // Guards against a run that outlives the client's retry delay because the stop and the cancellation are lost or late.
-        large("faults of all kinds", FaultKind.entries, 1001),
+        large("faults of all kinds", FaultKind.SIMPLE, 1001),
     )
 }
 
+/** A scenario in which most runs are remote ones and last longer than a lease and than a client takes to submit its job again. */
+private fun long(name: String, kinds: List<FaultKind>, vararg failedSeeds: Long) =
+    SimulationScenario(name, kinds, *failedSeeds, size = FleetSize.NO_LOCAL_WORKERS, workload = Workload.LONG)
+
 private fun large(
     faults: String,
     kinds: List<FaultKind>,
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/FaultInjector.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/FaultInjector.kt
@@ -37,6 +37,22 @@
 
     /** Calls to workers are carried out late, without an answer, for a while. */
     WORKER_CALLS_LATE,
+
+    /** A machine is suspended: its process is paused, and its monotonic clock does not count the time. */
+    VM_SUSPENDED,
+
+    /** The process of a VM is killed while another one is paused or suspended, for so short a time that no VM takes it for lost. */
+    VM_KILLED_BESIDE_PAUSE,
+
+    /** The process of a VM is paused, and killed shortly after it has resumed. Some of its clients leave during the pause. */
+    VM_KILLED_AFTER_PAUSE,
+
+    ;
+
+    companion object {
+        /** The kinds with a single cause, each of which a process sees on its monotonic clock. */
+        val SIMPLE = entries - VM_SUSPENDED - VM_KILLED_BESIDE_PAUSE - VM_KILLED_AFTER_PAUSE
+    }
 }
 
 /** Injects faults of [kinds]. */
@@ -75,13 +91,21 @@
             FaultKind.ONE_WAY_CUT -> cut(vm, ms)
             FaultKind.VM_KILLED -> kill(vm, ms, isMachineLost = false)
             FaultKind.VM_LOST -> kill(vm, ms, isMachineLost = true)
-            FaultKind.VM_PAUSED -> pause(vm, ms)
             FaultKind.STOPS_LOST -> calls.stopsLostUntil = lastingUntil(ms, "stops are lost")
             FaultKind.WORKER_CALLS_LOST -> calls.callsLostUntil = lastingUntil(ms, "calls to workers are lost")
             FaultKind.WORKER_CALLS_LATE -> calls.callsLateUntil = lastingUntil(ms, "calls to workers are late")
+            else -> injectPause(kind, vm, ms)
         }
     }
 
+    private fun injectPause(kind: FaultKind, vm: SimulatedVm, ms: Long) = when (kind) {
+        FaultKind.VM_PAUSED -> pause(vm, ms)
+        FaultKind.VM_SUSPENDED -> pause(vm, ms, isSuspension = true)
+        FaultKind.VM_KILLED_BESIDE_PAUSE -> killBesidePause(vm, ms)
+        FaultKind.VM_KILLED_AFTER_PAUSE -> killAfterPause(vm, ms)
+        else -> error("not a kind of pause: $kind")
+    }
+
     private fun lastingUntil(ms: Long, what: String): Long {
         world.recordFault("$what for $ms ms")
         return world.now() + ms
@@ -137,13 +161,34 @@
         }
     }
 
-    private fun pause(vm: SimulatedVm, ms: Long) {
+    private fun pause(vm: SimulatedVm, ms: Long, isSuspension: Boolean = false) {
         if (!vm.isUp || vm.isPaused) return
-        world.recordFault("${vm.name} paused for $ms ms")
-        vm.pause(ms)
+        world.recordFault("${vm.name} ${if (isSuspension) "suspended" else "paused"} for $ms ms")
+        if (isSuspension) vm.suspend(ms) else vm.pause(ms)
+    }
+
+    private fun killBesidePause(vm: SimulatedVm, downMs: Long) {
+        pause((vms - vm).random(random), random.nextLong(MIN_SHORT_PAUSE_MS, MAX_SHORT_PAUSE_MS), isSuspension = random.nextBoolean())
+        world.scope.launch {
+            delay(random.nextLong(MIN_SHORT_PAUSE_MS))
+            kill(vm, downMs, isMachineLost = false)
+        }
+    }
+
+    private fun killAfterPause(vm: SimulatedVm, downMs: Long) {
+        val pauseMs = random.nextLong(MIN_SHORT_PAUSE_MS, MAX_SHORT_PAUSE_MS)
+        pause(vm, pauseMs)
+        resetClients()
+        world.scope.launch {
+            delay(pauseMs + random.nextLong(MAX_CLOSE_GAP_MS))
+            kill(vm, downMs, isMachineLost = random.nextBoolean())
+        }
     }
 
     private companion object {
+        /** In pauses up to the longest of these, in ms, no VM is taken for lost. */
+        const val MIN_SHORT_PAUSE_MS = 250L
+        const val MAX_SHORT_PAUSE_MS = 500L
         const val SEVERAL_SHARE = 0.4
         const val MAX_AT_ONCE = 3
         const val CLOSE_SERIES_SHARE = 0.5
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/FleetSimulation.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/FleetSimulation.kt
@@ -21,8 +21,15 @@
     override fun toString() = description
 }
 
-/** The entry VMs of a simulated fleet, each with its data centre, and the number of workers in each data centre. */
-internal enum class FleetSize(val vms: List<Pair<String, String>>, val workersPerDataCentre: Int) {
+/**
+ * The entry VMs of a simulated fleet, each with its data centre, and the number of workers in each data centre but those
+ * [withoutWorkers].
+ */
+internal enum class FleetSize(
+    val vms: List<Pair<String, String>>,
+    val workersPerDataCentre: Int,
+    val withoutWorkers: Set<String> = emptySet(),
+) {
     /** A data centre's cells have one owner, or two. */
     SMALL(listOf("a1" to "akl-a", "a2" to "akl-a", "h1" to "ham-a", "h2" to "ham-a", "t1" to "tga-a"), workersPerDataCentre = 3),
 
@@ -31,14 +38,25 @@
         listOf("a1" to "akl-a", "a2" to "akl-a", "a3" to "akl-a", "a4" to "akl-a", "h1" to "ham-a", "h2" to "ham-a", "t1" to "tga-a"),
         workersPerDataCentre = 8,
     ),
+
+    /** The runs of the first data centre's jobs are all remote ones. */
+    NO_LOCAL_WORKERS(
+        listOf("a1" to "akl-a", "a2" to "akl-a", "h1" to "ham-a", "t1" to "tga-a"),
+        workersPerDataCentre = 4,
+        withoutWorkers = setOf("akl-a"),
+    ),
 }
 
-/** The fleet of [size] with the seed [seed] and faults of [kinds]. Its clients submit their jobs again as [resubmission] has it. */
+/**
+ * The fleet of [size] with the seed [seed] and faults of [kinds]. Its clients submit jobs of [workload],
+ * and submit them again as [resubmission] has it.
+ */
 internal class FleetSimulation(
     private val seed: Long,
     kinds: List<FaultKind>,
     resubmission: Resubmission = Resubmission.LATER_ANYWHERE,
     size: FleetSize = FleetSize.SMALL,
+    workload: Workload = Workload.SHORT,
 ) {
     private val world = SimulationWorld(seed)
     private val queue = JobQueue(name = "lookups", pool = POOL, maxAttempts = 2, stretch = 2.0, latencyTargetMs = 600)
@@ -50,7 +68,7 @@
     private val network = SimulatedNetwork(world) { from, to, request ->
         origins[Triple(request.run, request.payload, to.name)] = from.incarnation
     }
-    private val entries = size.vms.map { it.second }.distinct().flatMap { dataCentre ->
+    private val entries = (size.vms.map { it.second }.distinct() - size.withoutWorkers).flatMap { dataCentre ->
         List(size.workersPerDataCentre) { index ->
             WorkerEntry("$dataCentre-worker-$index", POOL, "simulated", 1, dataCentre, isDraining = false, CAPACITY, startedAtMs = 1)
         }
@@ -59,7 +77,7 @@
     private val vms = size.vms.mapIndexed { index, (name, dataCentre) ->
         SimulatedVm(world, network, SimulatedVm.settings(name, dataCentre, FIRST_PORT + index), ports(name))
     }
-    private val clients = SimulatedClients(world, vms, queue, resubmission)
+    private val clients = SimulatedClients(world, vms, queue, resubmission, workload)
     private val workers: Map<String, SimulatedWorker> = entries.mapValues { (_, entry) ->
         SimulatedWorker(entry, world, clockRate = 1 - world.random.nextDouble() * MAX_CLOCK_LAG, clients::workOf, ::checkStart)
     }
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedClients.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedClients.kt
@@ -23,12 +23,24 @@
     SOON_IN_DATA_CENTRE,
 }
 
+/**
+ * What the jobs are like: the range of their tasks' run times, how long the clients wait for a job, and the longest time between two jobs,
+ * in ms. A share of the jobs, [slowShare], takes several times the declared run time.
+ */
+internal enum class Workload(val taskMs: LongRange, val slowShare: Double, val deadlineMs: Long, val maxGapMs: Long) {
+    SHORT(taskMs = 60L..<900L, slowShare = 0.1, deadlineMs = 1_500, maxGapMs = 160),
+
+    /** Most runs last longer than a client takes to submit its job again, and than a lease. */
+    LONG(taskMs = 1_500L..<5_000L, slowShare = 0.0, deadlineMs = 8_000, maxGapMs = 600),
+}
+
 /** All clients, which submit jobs to [vms] on [queue]. */
 internal class SimulatedClients(
     private val world: SimulationWorld,
     private val vms: List<SimulatedVm>,
     private val queue: JobQueue,
     private val resubmission: Resubmission,
+    private val workload: Workload,
 ) {
     private val slowness = HashMap<String, Int>()
     private val jobs = HashMap<String, FleetJob>()
@@ -53,7 +65,7 @@
             while (world.now() < until) {
                 val job = newJob()
                 launch { submit(job) }
-                delay(world.random.nextLong(MIN_GAP_MS, MAX_GAP_MS))
+                delay(world.random.nextLong(MIN_GAP_MS, workload.maxGapMs))
             }
         }
     }
@@ -61,12 +73,12 @@
     private fun newJob(): FleetJob {
         val steps = List(if (world.chance(TWO_STEP_SHARE)) 2 else 1) { number ->
             val count = world.random.nextInt(1, MAX_TASKS + 1)
-            val estimateMs = world.random.nextLong(MIN_TASK_MS, MAX_TASK_MS)
+            val estimateMs = world.random.nextLong(workload.taskMs.first, workload.taskMs.last + 1)
             JobStep(count, Demand(TASK_CPU_MILLI), estimateMs, after = if (number == 0) emptyList() else listOf(number - 1))
         }
         val job = FleetJob("%016x".format(nextJob++), "", steps)
         jobs[job.id] = job
-        slowness[job.id] = if (world.chance(SLOW_SHARE)) SLOW_FACTOR else 1
+        slowness[job.id] = if (world.chance(workload.slowShare)) SLOW_FACTOR else 1
         return job
     }
 
@@ -99,9 +111,9 @@
         world.record(job.id, "submission $number to ${vm.name}")
         world.scope.launch {
             world.hop()
-            vm.serve(connection, queue, DEADLINE_MS)
+            vm.serve(connection, queue, workload.deadlineMs)
         }
-        val answer = withTimeoutOrNull(DEADLINE_MS) { connection.answer.await() }
+        val answer = withTimeoutOrNull(workload.deadlineMs) { connection.answer.await() }
         if (answer == null) connection.close()
         world.record(job.id, "submission $number: ${answer ?: "no answer by the deadline"}")
         return answer
@@ -109,18 +121,13 @@
 
     private companion object {
         const val MIN_GAP_MS = 20L
-        const val MAX_GAP_MS = 160L
-        const val DEADLINE_MS = 1_500L
         const val RESUBMIT_DELAY_MS = 1_300L
         const val MIN_SOON_MS = 24L
         const val MAX_SOON_MS = 100L
         const val MAX_SUBMISSIONS = 4
         const val TWO_STEP_SHARE = 0.2
         const val MAX_TASKS = 4
-        const val MIN_TASK_MS = 60L
-        const val MAX_TASK_MS = 900L
         const val TASK_CPU_MILLI = 1_000
-        const val SLOW_SHARE = 0.1
         const val SLOW_FACTOR = 4
     }
 }
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
@@ -1,6 +1,7 @@
 /* The peer connections of one process of a simulated VM, with the semantics of `PeerNetwork`. */
 package dandelionpoint.fleet.simulation
 
+import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.peer.JobCancel
 import dandelionpoint.protocol.peer.JobOffer
 import dandelionpoint.protocol.peer.PeerMessage
@@ -8,6 +9,7 @@
 import dandelionpoint.protocol.peer.RemoteRunRequest
 import dandelionpoint.protocol.peer.RunCancel
 import dandelionpoint.protocol.peer.VmIdentity
+import dandelionpoint.transport.peer.FrameStamps
 import dandelionpoint.transport.peer.PeerAddress
 import dandelionpoint.transport.peer.PeerEvents
 import dandelionpoint.transport.peer.PeerHandler
@@ -26,8 +28,10 @@
     private val scope: CoroutineScope,
     private val handler: PeerHandler,
     private val events: PeerEvents,
+    clock: Clock,
 ) : PeerTransport {
     private val world = network.world
+    private val stamps = FrameStamps(clock)
     private val outbound = LinkedHashMap<VmIdentity, SimulatedConnection>()
     private val inbound = LinkedHashSet<SimulatedConnection>()
     private val reconnectors = LinkedHashMap<PeerAddress, Job>()
@@ -72,11 +76,9 @@
         val connection = SimulatedConnection(network, client = this, server = target)
         network.add(connection)
         val accepted = CompletableDeferred<Unit>()
-        connection.transmit(ConnectionEnd.CLIENT) {
-            target.launch {
-                target.accept(connection, this.address)
-                connection.transmit(ConnectionEnd.SERVER) { accepted.complete(Unit) }
-            }
+        send(connection, ConnectionEnd.CLIENT) {
+            target.accept(connection, this.address)
+            target.send(connection, ConnectionEnd.SERVER) { accepted.complete(Unit) }
         }
         if (withTimeoutOrNull(HELLO_TIMEOUT_MS) { accepted.await() } == null || connection.isClosedAt(ConnectionEnd.CLIENT)) {
             connection.close(ConnectionEnd.CLIENT)
@@ -86,6 +88,16 @@
         return connection
     }
 
+    /**
+     * Sends a frame from the end [from] of [connection], at which this VM is. The receiver calls [onRead] with the longest time in ms since
+     * the frame was made.
+     */
+    private fun send(connection: SimulatedConnection, from: ConnectionEnd, onRead: suspend (ageMs: Long) -> Unit) {
+        val receiver = connection.transportAt(from.other)
+        val times = stamps.timesFor(receiver.self.incarnation)
+        connection.transmit(from) { receiver.launch { onRead(receiver.stamps.onRead(self.incarnation, times)) } }
+    }
+
     private fun accept(connection: SimulatedConnection, from: PeerAddress) {
         if (!connection.isClosedAt(ConnectionEnd.SERVER)) inbound += connection
         connect(from)
@@ -102,7 +114,7 @@
         if (message is RemoteRunRequest) network.onRemoteRun(self, to, message)
         val call = connection.openCall()
         deliver(connection, message) { reply ->
-            if (reply != null) connection.transmit(ConnectionEnd.SERVER) { call.complete(PeerReply.Answered(reply)) }
+            if (reply != null) connection.server.send(connection, ConnectionEnd.SERVER) { call.complete(PeerReply.Answered(reply)) }
         }
         val reply = withTimeoutOrNull(timeoutMs) { call.await() }
         connection.endCall(call)
@@ -117,11 +129,9 @@
     private fun deliver(connection: SimulatedConnection, message: PeerMessage, onReply: (PeerMessage?) -> Unit) {
         val receiver = connection.server
         record(message, "sent by $name to ${receiver.name}")
-        connection.transmit(ConnectionEnd.CLIENT) {
-            receiver.launch {
-                record(message, "read by ${receiver.name}")
-                onReply(receiver.handler(self, message))
-            }
+        send(connection, ConnectionEnd.CLIENT) { ageMs ->
+            record(message, "read by ${receiver.name}")
+            onReply(receiver.handler(self, message, ageMs))
         }
     }
 
@@ -137,9 +147,14 @@
 
     override fun send(receivers: Collection<VmIdentity>, message: PeerMessage) = receivers.forEach { send(it, message) }
 
+    override fun sendStamp(receivers: Collection<VmIdentity>) = receivers.forEach { receiver ->
+        outbound[receiver]?.let { send(it, ConnectionEnd.CLIENT) { } }
+    }
+
     override fun connected(): Set<VmIdentity> = outbound.keys.toSet()
 
     override fun drop(vm: VmIdentity) {
+        stamps.forget(vm.incarnation)
         outbound[vm]?.close(ConnectionEnd.CLIENT)
         inbound.filter { it.client.self == vm }.forEach { it.close(ConnectionEnd.SERVER) }
     }
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
@@ -39,7 +39,12 @@
     private val ports: FleetPorts,
 ) {
     /** A process of this VM. */
-    private class Incarnation(val vm: FleetVm, val dispatcher: PausableDispatcher, val transport: SimulatedTransport)
+    private class Incarnation(
+        val vm: FleetVm,
+        val dispatcher: PausableDispatcher,
+        val transport: SimulatedTransport,
+        val clock: SuspendableClock,
+    )
 
     val name: String get() = settings.name
     val dataCentre: String get() = settings.dataCentre
@@ -54,17 +59,21 @@
     fun start() {
         incarnations++
         val dispatcher = PausableDispatcher(world.dispatcher, world.random)
+        val clock = SuspendableClock(world.clock)
         lateinit var transport: SimulatedTransport
         val vm = FleetVm(
             settings = settings,
             ports = ports,
-            clock = world.clock,
+            clock = clock,
             incarnation = "$name-$incarnations",
             context = dispatcher + world.errorHandler,
             random = world.random,
-            transport = { scope, handler, events -> SimulatedTransport(network, name, scope, handler, events).also { transport = it } },
+            transport = { scope, handler, events ->
+                SimulatedTransport(network, name, scope, handler, events, clock).also { transport = it }
+            },
         )
-        current = Incarnation(vm, dispatcher, transport)
+        current = Incarnation(vm, dispatcher, transport, clock)
+        vm.pollClients = { endDisconnected(vm) }
         vm.scope.launch { vm.start() }
     }
 
@@ -88,14 +97,19 @@
         }
     }
 
+    /** Suspends the machine for [ms], which its monotonic clock does not count, unless the process ends before. */
+    fun suspend(ms: Long) {
+        val suspended = current ?: return
+        suspended.clock.suspend(ms)
+        pause(ms)
+    }
+
     /** Serves the request of [connection]. A VM that is down refuses the connection; a paused one reads the request when it resumes. */
     fun serve(connection: ClientConnection, queue: JobQueue, waitMs: Long) {
         val vm = current?.vm ?: return connection.close()
         clients += connection
         vm.scope.launch {
-            val watch = launch { watch(vm, connection) }
             val outcome = vm.run(connection.job, queue, waitMs)
-            watch.cancel()
             clients -= connection
             world.scope.launch {
                 world.hop()
@@ -104,17 +118,13 @@
         }
     }
 
-    private suspend fun watch(vm: FleetVm, connection: ClientConnection) {
-        delay(world.random.nextLong(1, CLOSE_SEEN_MS))
-        while (!connection.isClosed) delay(CLOSE_SEEN_MS)
+    private fun endDisconnected(vm: FleetVm) = clients.filter { it.isClosed }.forEach { connection ->
+        clients -= connection
         world.record(connection.job.id, "$name is told that the client has disconnected")
         vm.cancel(connection.job.id)
     }
 
     companion object {
-        /** Interval at which a VM looks for closed connections of clients, in ms. */
-        const val CLOSE_SEEN_MS = 100L
-
         fun settings(name: String, dataCentre: String, port: Int) = FleetSettings(
             name = name,
             region = "north",
--- a/src/test/kotlin/dandelionpoint/transport/peer/FrameCodecTest.kt
+++ b/src/test/kotlin/dandelionpoint/transport/peer/FrameCodecTest.kt
@@ -42,7 +42,11 @@
                 codec.decode(codec.encode(frame)) shouldBe frame
             }
             it("above the size limit is refused before its body is read, so that a peer cannot exhaust memory") {
-                val header = ByteBuffer.allocate(4).putInt(1_025).array()
+                val header = ByteBuffer.allocate(4).putInt(FrameCodec.TIMES_BYTES + 1_025).array()
+                shouldThrow<FrameException> { codec.read(ByteReadChannel(header)) }
+            }
+            it("that is too short for its times is refused") {
+                val header = ByteBuffer.allocate(4).putInt(FrameCodec.TIMES_BYTES - 1).array()
                 shouldThrow<FrameException> { codec.read(ByteReadChannel(header)) }
             }
             it("of random bytes causes no exception other than FrameException") {
--- a/src/test/kotlin/dandelionpoint/transport/peer/FrameReaderTest.kt
+++ b/src/test/kotlin/dandelionpoint/transport/peer/FrameReaderTest.kt
@@ -37,6 +37,8 @@
     PeerFrame(7, isReply = true, message = ReleaseAnswer),
 )
 
+private val TIMES = FrameTimes(stamp = 5, echo = -3)
+
 /** Guards against a heartbeat that is taken for an older one, by which a VM would act on cells or capacity that a peer no longer has. */
 internal class FrameReaderTest :
     DescribeSpec({
@@ -44,7 +46,8 @@
 
         fun bytes(frames: List<PeerFrame>): ByteArray = frames.fold(ByteArray(0)) { stream, frame ->
             val body = codec.encode(frame)
-            stream + ByteBuffer.allocate(Int.SIZE_BYTES).putInt(body.size).array() + body
+            val head = ByteBuffer.allocate(Int.SIZE_BYTES + FrameCodec.TIMES_BYTES)
+            stream + head.putInt(FrameCodec.TIMES_BYTES + body.size).putInt(TIMES.stamp).putInt(TIMES.echo).array() + body
         }
 
         it("returns the frames that were sent, in any order, with repetitions and cut at any byte") {
@@ -58,16 +61,25 @@
                     }
                 }
                 val reader = FrameReader(channel, codec)
-                List(frames.size) { reader.next() } shouldBe frames
+                List(frames.size) { reader.next() } shouldBe frames.map { ReadFrame(TIMES, it) }
                 sender.join()
             }
         }
 
+        it("returns the times of a frame without a message, and goes on behind it") {
+            val empty = ByteBuffer.allocate(
+                Int.SIZE_BYTES + FrameCodec.TIMES_BYTES,
+            ).putInt(FrameCodec.TIMES_BYTES).putInt(8).putInt(9).array()
+            val reader = FrameReader(ByteReadChannel(empty + bytes(FRAMES.take(1))), codec)
+            reader.next() shouldBe ReadFrame(FrameTimes(stamp = 8, echo = 9), frame = null)
+            reader.next() shouldBe ReadFrame(TIMES, FRAMES.first())
+        }
+
         it("returns the same object for a heartbeat that reports no change, also if calls come between") {
             val (first, changed) = FRAMES
             val call = FRAMES.first { it.call != 0L }
             val reader = FrameReader(ByteReadChannel(bytes(listOf(first, call, first, changed, first))), codec)
-            val read = List(5) { reader.next() }
+            val read = List(5) { reader.next().frame }
             read[2] shouldBeSameInstanceAs read[0]
             read[3] shouldBe changed
             read[4] shouldBe first
--- a/src/test/kotlin/dandelionpoint/transport/peer/PeerNetworkTest.kt
+++ b/src/test/kotlin/dandelionpoint/transport/peer/PeerNetworkTest.kt
@@ -78,7 +78,7 @@
                 }
                 val silent = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
                 val ended = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { PeerAddress("127.0.0.1", it.localPort) }
-                val node = node("a", events = events) { _, _ -> null }
+                val node = node("a", events = events) { _, _, _ -> null }
                 node.network.connect(PeerAddress("127.0.0.1", silent.localPort))
                 node.network.connect(ended)
                 eventually(5.seconds) { refused.toSet() shouldBe setOf(ended) }
@@ -91,10 +91,10 @@
         describe("two VMs") {
             it("call each other, and a call without a reply is reported as lost, not as not sent") {
                 val unresponsive =
-                    node("unresponsive") { _, message ->
+                    node("unresponsive") { _, message, _ ->
                         if (message is PeerMessage.ConfigPull) awaitCancellation() else PeerMessage.Goodbye
                     }
-                val caller = node("caller") { _, _ -> null }
+                val caller = node("caller") { _, _, _ -> null }
                 try {
                     caller.network.connect(PeerAddress(unresponsive.vm.host, unresponsive.vm.port))
                     eventually(5.seconds) { caller.network.connected() shouldBe setOf(unresponsive.vm) }
@@ -106,8 +106,8 @@
                 }
             }
             it("of different clusters refuse each other's connections") {
-                val other = node("other", cluster = "another") { _, _ -> null }
-                val caller = node("caller") { _, _ -> null }
+                val other = node("other", cluster = "another") { _, _, _ -> null }
+                val caller = node("caller") { _, _, _ -> null }
                 try {
                     caller.network.connect(PeerAddress(other.vm.host, other.vm.port))
                     caller.network.call(other.vm, PeerMessage.SlotRequest(1), 500).shouldBeInstanceOf<PeerReply.NotSent>()
@@ -123,14 +123,14 @@
             it("delivers no message that was received before and not handled yet") {
                 lateinit var receiver: Node
                 val handled = AtomicInteger()
-                receiver = node("receiver", dispatcher = Dispatchers.Unconfined) { from, _ ->
+                receiver = node("receiver", dispatcher = Dispatchers.Unconfined) { from, _, _ ->
                     if (handled.incrementAndGet() == 1) {
                         Thread.sleep(MESSAGES_ARRIVE_MS)
                         receiver.network.drop(from)
                     }
                     null
                 }
-                val sender = node("sender") { _, _ -> null }
+                val sender = node("sender") { _, _, _ -> null }
                 try {
                     sender.network.connect(PeerAddress(receiver.vm.host, receiver.vm.port))
                     eventually(5.seconds) { sender.network.connected() shouldBe setOf(receiver.vm) }
@@ -147,9 +147,9 @@
             // Guards against a failed write that ends as an uncaught exception of the thread that sends, which is busy until then.
             it("ends without an uncaught exception while messages are sent") {
                 val uncaught = ConcurrentLinkedQueue<Throwable>()
-                val receiver = node("receiver") { _, _ -> null }
+                val receiver = node("receiver") { _, _, _ -> null }
                 val thread = Executors.newSingleThreadExecutor().asCoroutineDispatcher()
-                val sender = node("sender", dispatcher = thread, uncaught = uncaught) { _, _ -> null }
+                val sender = node("sender", dispatcher = thread, uncaught = uncaught) { _, _, _ -> null }
                 try {
                     sender.network.connect(PeerAddress(receiver.vm.host, receiver.vm.port))
                     eventually(5.seconds) { sender.network.connected() shouldBe setOf(receiver.vm) }
@@ -171,8 +171,8 @@
         }
         describe("invalid input on the peer port") {
             it("closes that connection and does not affect others") {
-                val server = node("server") { _, _ -> PeerMessage.Goodbye }
-                val caller = node("caller") { _, _ -> null }
+                val server = node("server") { _, _, _ -> PeerMessage.Goodbye }
+                val caller = node("caller") { _, _, _ -> null }
                 try {
                     Socket("127.0.0.1", server.vm.port).use { it.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".toByteArray()) }
                     caller.network.connect(PeerAddress(server.vm.host, server.vm.port))
