Date messages when they are read, not when they are used

A pause of the process between the reading of a message and its use would have made the message's age too low by the pause, since the age was computed when the frame was read. Handlers now get the date of the message, on the clock by which they ask how old it is. Found by reading; the window is a few microseconds and no test shows it.

What a heartbeat contains moves out of FleetVm into HeartbeatContents.

--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -54,8 +54,10 @@
 
 private val log = KotlinLogging.logger {}
 
-/** Creates the connections of a VM to its peers, which run in the scope and pass the peers' messages to the handler. */
-internal typealias PeerTransportFactory = (CoroutineScope, PeerHandler, PeerEvents) -> PeerTransport
+/**
+ * Creates the connections of a VM to its peers, which run in the scope, pass the peers' messages to the handler and date them by the clock.
+ */
+internal typealias PeerTransportFactory = (CoroutineScope, PeerHandler, PeerEvents, UptimeClock) -> PeerTransport
 
 /** One entry VM. Its loops run in [context]. Times are in ms. */
 internal class FleetVm(
@@ -66,14 +68,17 @@
     private val incarnation: String = UUID.randomUUID().toString(),
     context: CoroutineContext = Dispatchers.Default,
     random: Random = Random.Default,
-    transport: PeerTransportFactory = { scope, handler, events -> PeerNetwork(scope, CLUSTER, handler, events, clock = clock) },
+    transport: PeerTransportFactory = { scope, handler, events, uptime ->
+        PeerNetwork(scope, CLUSTER, handler, events, uptime = uptime)
+    },
 ) : FleetJobService {
     /** Scope of all loops of this VM; [close] cancels it. */
     val scope = CoroutineScope(context + SupervisorJob(context[Job]))
+    private val uptime = UptimeClock(clock)
     private val network: PeerTransport =
-        transport(scope, { from, message, ageMs -> peerRequests.handle(from, message, ageMs) }, Connections())
+        transport(scope, { from, message, sentAt -> peerRequests.handle(from, message, sentAt) }, Connections(), uptime)
     private val peers = PeerState(::unresponsiveMs, RemoteCapacity(settings.dataCentre, random))
-    private val demand = PeerDemand(incarnation, peers.liveness, UptimeClock(clock))
+    private val demand = PeerDemand(incarnation, peers.liveness, uptime)
     private val tables = FleetTables(ports, Tables(), clock, rules)
     private val cells = OwnedCells(scope, ports.workers, Runs(), { tables.workers() }, clock, rules, demand)
     private val dispatch = Dispatch(incarnation)
@@ -86,9 +91,15 @@
     private val claims = CellClaims(ports.store, Claims(), plan, rules, clock)
     private val ownership = JobOwnership(settings.dataCentre, OwnView(), peers.directory, peers.formers)
     private val admission = WorkAdmission(PauseDetector(clock, TICK_MS), Pauses(), clock, rules)
-    private val heartbeats = HeartbeatSender(network, settings.dataCentre, clock, Heartbeats())
     private lateinit var self: VmIdentity
     private val forwarder = JobForwarder(scope, { self }, runner, network, { peers.liveness.isLive(it) }, ::routeOf, clock)
+    private val ownWork = OwnWork(cells, claims, dispatch, runner, forwarder)
+    private val heartbeats = HeartbeatSender(
+        network,
+        settings.dataCentre,
+        clock,
+        HeartbeatContents(settings.dataCentre, incarnation, ownWork, demand, peers.liveness, HeartbeatState()),
+    )
     private val peerRequests = PeerRequests(
         peers,
         admission,
@@ -309,41 +320,16 @@
         override fun offer(cell: String, successor: VmIdentity) = network.send(successor, CellHandover(cell))
     }
 
-    private inner class Heartbeats : HeartbeatSource {
-        /** VMs of other data centres need not know the cells of this one: they claim them only if it has no live VM. */
-        override fun heartbeat(isSameDataCentre: Boolean): FleetHeartbeat {
-            lookAtClients(TICK_MS)
-            val shown = cells.owned().map { it.cell }.filter {
-                claims.isProven(it.name) && (isSameDataCentre || Cells.dataCentreOf(it.name) != settings.dataCentre)
-            }
-            return FleetHeartbeat(
-                cells = shown.associate { it.name to it.token },
-                freeCapacity = cells.freeCapacity(),
-                cores = cells.cores(),
-                isStopping = isStopping,
-                configVersion = tables.configurationVersion,
-                waitingJobs = dispatch.waitingJobs(),
-                relayed = if (isSameDataCentre) emptyMap() else entryVmAges(),
-                cancelledJobs = forwarder.unconfirmedCancellations(),
-                cancelledRuns = runner.unconfirmedStops(),
-            )
-        }
-
-        private fun entryVmAges(): Map<String, Long> = runner
-            .entryVmsOfRemoteRuns()
-            .filter { it != incarnation }
-            .mapNotNull { vm -> demand.ageMs(vm)?.let { vm to it } }
-            .toMap()
+    private inner class HeartbeatState : HeartbeatHost {
+        override val isStopping: Boolean get() = this@FleetVm.isStopping
 
-        override fun dependents(): Set<String> = cells.origins() + dispatch.entryVms() - incarnation
+        override val configurationVersion: Long get() = tables.configurationVersion
 
-        override fun partners(): Set<VmIdentity> = runner.partners() + forwarder.dispatchers()
+        override fun onHeartbeat() {
+            lookAtClients(TICK_MS)
+        }
 
         override fun sending() = admission.onHeartbeat()
-
-        override fun isAnyWaiting(): Boolean = peers.liveness.isAnyWaiting()
-
-        override fun isWaiting(vm: VmIdentity): Boolean = peers.liveness.heartbeat(vm)?.waitingJobs?.isNotEmpty() ?: false
     }
 
     private fun onHeartbeat(from: VmIdentity, heartbeat: FleetHeartbeat, sentAt: Long) {
--- a/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
@@ -73,16 +73,16 @@
     private val rules: FleetRules,
     private val clock: Clock,
 ) {
-    /** Handles [message], which [from] made at most [ageMs] ms ago. Returns the reply, or null for a message that has none. */
-    suspend fun handle(from: VmIdentity, message: PeerMessage, ageMs: Long): PeerMessage? {
+    /** Handles [message], which [from] made on the date [sentAt] or later. Returns the reply, or null for a message that has none. */
+    suspend fun handle(from: VmIdentity, message: PeerMessage, sentAt: Long): PeerMessage? {
         admission.check()
         return when (message) {
             is FleetHeartbeat -> {
-                targets.onHeartbeat(from, message, demand.now() - ageMs)
+                targets.onHeartbeat(from, message, sentAt)
                 null
             }
 
-            is JobOffer -> dispatch(from, message, ageMs)
+            is JobOffer -> dispatch(from, message, sentAt)
 
             is JobCancel -> {
                 targets.runner.cancel(AttemptKey(from.incarnation, message.jobId, message.attempt))
@@ -90,17 +90,17 @@
             }
 
             // Without an answer, the sender repeats the request if it still waits. The run may have started before the pause.
-            is RemoteRunRequest -> if (admission.acceptsPeers()) runHere(from, message, ageMs) else null
+            is RemoteRunRequest -> if (admission.acceptsPeers()) runHere(from, message, sentAt) else null
 
             is RunCancel -> targets.remoteRuns.cancel(RunKey(from.incarnation, message.dispatch, message.run))
 
             is PeerMessage.ConfigPull -> targets.configuration()
 
             // Without an answer, the sender repeats the report.
-            is WorkersReleased -> if (onReport(from, message, demand.now() - ageMs)) ReleaseAnswer else null
+            is WorkersReleased -> if (onReport(from, message, sentAt)) ReleaseAnswer else null
 
             is CellHandover -> {
-                if (ageMs <= MAX_HANDOVER_AGE_MS) targets.claims.handover(message.cell, from) else logExpired(from, message, ageMs)
+                if (!isExpired(from, message, sentAt, MAX_HANDOVER_AGE_MS)) targets.claims.handover(message.cell, from)
                 null
             }
 
@@ -111,11 +111,9 @@
         }
     }
 
-    private suspend fun runHere(from: VmIdentity, request: RemoteRunRequest, ageMs: Long): PeerMessage {
+    private suspend fun runHere(from: VmIdentity, request: RemoteRunRequest, sentAt: Long): PeerMessage {
         val now = clock.millis()
-        val sentAt = demand.now() - ageMs
-        val isExpired = ageMs > rules.maxRequestAgeMs
-        if (isExpired) logExpired(from, request, ageMs)
+        val isExpired = isExpired(from, request, sentAt, rules.maxRequestAgeMs)
         state.liveness.onMessage(from, now)
         val entryVm = request.entryVm
         val entryAgeMs = request.entryAgeMs
@@ -123,19 +121,21 @@
         return targets.remoteRuns.run(from, request, demand.limited(sentAt - (entryAgeMs ?: 0)), isExpired)
     }
 
-    private fun logExpired(from: VmIdentity, message: PeerMessage, ageMs: Long) =
+    /** True if [message] may be older than [maxAgeMs]. */
+    private fun isExpired(from: VmIdentity, message: PeerMessage, sentAt: Long, maxAgeMs: Long): Boolean {
+        val ageMs = demand.now() - sentAt
+        if (ageMs <= maxAgeMs) return false
         log.info { "event=request_expired peer=${from.name} type=${message::class.simpleName} age_ms=$ageMs" }
+        return true
+    }
 
-    private suspend fun dispatch(from: VmIdentity, offer: JobOffer, ageMs: Long): JobAnswer {
+    private suspend fun dispatch(from: VmIdentity, offer: JobOffer, sentAt: Long): JobAnswer {
         val now = clock.millis()
         val submission =
             Submission(offer.job, offer.queue, from.incarnation, now - offer.ageMs, now + offer.remainingMs, offer.attempt)
         if (targets.runner.has(submission.attempt)) return JobAnswer(targets.runner.run(submission))
-        if (ageMs > rules.maxRequestAgeMs) {
-            logExpired(from, offer, ageMs)
-            return JobAnswer()
-        }
-        if (!admission.acceptsOffer(offer.ageMs + ageMs)) return JobAnswer()
+        if (isExpired(from, offer, sentAt, rules.maxRequestAgeMs)) return JobAnswer()
+        if (!admission.acceptsOffer(offer.ageMs + demand.now() - sentAt)) return JobAnswer()
         return when (val route = decidedRoute(offer.job.id)) {
             DispatchRoute.Here -> JobAnswer(targets.runner.run(submission))
             is DispatchRoute.At -> JobAnswer(redirect = route.vm)
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerConnection.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerConnection.kt
@@ -36,10 +36,10 @@
 )
 
 /**
- * Handles a message from a peer, which the peer has made at most [ageMs] ms ago ([FrameStamps.UNKNOWN_AGE_MS] if unknown). Returns the
+ * Handles a message from a peer, which the peer has made on the date [sentAt] or later ([FrameStamps.UNKNOWN_DATE] if unknown). Returns the
  * reply, or null for a message that has none.
  */
-internal typealias PeerHandler = suspend (from: VmIdentity, message: PeerMessage, ageMs: Long) -> PeerMessage?
+internal typealias PeerHandler = suspend (from: VmIdentity, message: PeerMessage, sentAt: Long) -> PeerMessage?
 
 /** An open connection. [handshake] must succeed before any other function is called. */
 internal class PeerConnection(
@@ -102,8 +102,8 @@
         try {
             while (true) {
                 val read = frames.next()
-                val ageMs = local.stamps.onRead(remote.incarnation, read.times)
-                read.frame?.let { onFrame(it, ageMs, scope) }
+                val sentAt = local.stamps.onRead(remote.incarnation, read.times)
+                read.frame?.let { onFrame(it, sentAt, scope) }
             }
         } finally {
             writer.cancel()
@@ -124,23 +124,23 @@
     }
 
     /** Messages without a reply are handled in the order in which they arrive; calls, which may take long, run beside each other. */
-    private suspend fun onFrame(frame: PeerFrame, ageMs: Long, scope: CoroutineScope) {
+    private suspend fun onFrame(frame: PeerFrame, sentAt: Long, scope: CoroutineScope) {
         traffic.received()
         when {
             frame.isReply -> pendingCalls.remove(frame.call)?.complete(PeerReply.Answered(frame.message))
-            frame.call == 0L -> handle(frame.message, ageMs)
-            else -> scope.launch(start = CoroutineStart.UNDISPATCHED) { answer(frame, ageMs) }
+            frame.call == 0L -> handle(frame.message, sentAt)
+            else -> scope.launch(start = CoroutineStart.UNDISPATCHED) { answer(frame, sentAt) }
         }
     }
 
-    private suspend fun answer(call: PeerFrame, ageMs: Long) {
-        val reply = handle(call.message, ageMs) ?: return
+    private suspend fun answer(call: PeerFrame, sentAt: Long) {
+        val reply = handle(call.message, sentAt) ?: return
         enqueue(PeerFrame(call.call, isReply = true, message = reply))
     }
 
-    private suspend fun handle(message: PeerMessage, ageMs: Long): PeerMessage? {
+    private suspend fun handle(message: PeerMessage, sentAt: Long): PeerMessage? {
         if (isDropped) return null
-        val reply = runCatching { handler(remote, message, ageMs) }
+        val reply = runCatching { handler(remote, message, sentAt) }
         val failure = reply.exceptionOrNull()
         if (failure != null && failure !is CancellationException) log.warn(failure) { "event=peer_handler_failed peer=${remote.name}" }
         return reply.getOrNull()
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -5,6 +5,7 @@
 package dandelionpoint.transport.peer
 
 import dandelionpoint.protocol.Clock
+import dandelionpoint.protocol.UptimeClock
 import dandelionpoint.protocol.peer.PeerFrame
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.PeerReply
@@ -46,11 +47,11 @@
     private val handler: PeerHandler,
     private val events: PeerEvents,
     private val codec: FrameCodec = FrameCodec(),
-    clock: Clock = Clock.System,
+    uptime: UptimeClock = UptimeClock(Clock.System),
 ) : PeerTransport {
     /** Counts of frames and bytes. */
     val traffic = PeerTraffic()
-    private val stamps = FrameStamps(clock)
+    private val stamps = FrameStamps(uptime)
     private val selector = SelectorManager(Dispatchers.IO)
 
     /** Jobs that open the outbound connection to an address, and reopen it when it ends. */
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
@@ -1,7 +1,7 @@
 /* The peer connections of one process of a simulated VM, with the semantics of `PeerNetwork`. */
 package dandelionpoint.fleet.simulation
 
-import dandelionpoint.protocol.Clock
+import dandelionpoint.protocol.UptimeClock
 import dandelionpoint.protocol.peer.JobCancel
 import dandelionpoint.protocol.peer.JobOffer
 import dandelionpoint.protocol.peer.PeerMessage
@@ -28,10 +28,10 @@
     private val scope: CoroutineScope,
     private val handler: PeerHandler,
     private val events: PeerEvents,
-    clock: Clock,
+    uptime: UptimeClock,
 ) : PeerTransport {
     private val world = network.world
-    private val stamps = FrameStamps(clock)
+    private val stamps = FrameStamps(uptime)
     private val outbound = LinkedHashMap<VmIdentity, SimulatedConnection>()
     private val inbound = LinkedHashSet<SimulatedConnection>()
     private val reconnectors = LinkedHashMap<PeerAddress, Job>()
@@ -89,10 +89,10 @@
     }
 
     /**
-     * Sends a frame from the end [from] of [connection], at which this VM is. The receiver calls [onRead] with the longest time in ms since
-     * the frame was made.
+     * Sends a frame from the end [from] of [connection], at which this VM is. The receiver calls [onRead] with the date at
+     * or after which the frame was made.
      */
-    private fun send(connection: SimulatedConnection, from: ConnectionEnd, onRead: suspend (ageMs: Long) -> Unit) {
+    private fun send(connection: SimulatedConnection, from: ConnectionEnd, onRead: suspend (sentAt: Long) -> Unit) {
         val receiver = connection.transportAt(from.other)
         val times = stamps.timesFor(receiver.self.incarnation)
         connection.transmit(from) { receiver.launch { onRead(receiver.stamps.onRead(self.incarnation, times)) } }
@@ -129,9 +129,9 @@
     private fun deliver(connection: SimulatedConnection, message: PeerMessage, onReply: (PeerMessage?) -> Unit) {
         val receiver = connection.server
         record(message, "sent by $name to ${receiver.name}")
-        send(connection, ConnectionEnd.CLIENT) { ageMs ->
+        send(connection, ConnectionEnd.CLIENT) { sentAt ->
             record(message, "read by ${receiver.name}")
-            onReply(receiver.handler(self, message, ageMs))
+            onReply(receiver.handler(self, message, sentAt))
         }
     }
 
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
@@ -68,8 +68,8 @@
             incarnation = "$name-$incarnations",
             context = dispatcher + world.errorHandler,
             random = world.random,
-            transport = { scope, handler, events ->
-                SimulatedTransport(network, name, scope, handler, events, clock).also { transport = it }
+            transport = { scope, handler, events, uptime ->
+                SimulatedTransport(network, name, scope, handler, events, uptime).also { transport = it }
             },
         )
         current = Incarnation(vm, dispatcher, transport, clock)
--- a/src/test/kotlin/dandelionpoint/transport/peer/FrameStampsTest.kt
+++ b/src/test/kotlin/dandelionpoint/transport/peer/FrameStampsTest.kt
@@ -1,6 +1,7 @@
 package dandelionpoint.transport.peer
 
 import dandelionpoint.protocol.Clock
+import dandelionpoint.protocol.UptimeClock
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.longs.shouldBeLessThanOrEqual
@@ -29,7 +30,8 @@
 private class Exchange(seed: Long) {
     private val random = Random(seed)
     private var now = 0L
-    private val stamps = List(2) { FrameStamps(OffsetClock(random.nextLong(100 * HOUR_MS)) { now }) }
+    private val clocks = List(2) { UptimeClock(OffsetClock(random.nextLong(100 * HOUR_MS)) { now }) }
+    private val stamps = clocks.map { FrameStamps(it) }
     private val underWay = mutableListOf<Frame>()
 
     /** Times of the frames that were read, with the ages that their receivers took them to have at most. */
@@ -47,7 +49,8 @@
 
     private fun read(frame: Frame) {
         if (random.nextBoolean()) underWay -= frame
-        read += (now - frame.madeAt) to stamps[1 - frame.from].onRead(name(frame.from), frame.times)
+        val receiver = 1 - frame.from
+        read += (now - frame.madeAt) to clocks[receiver].millis() - stamps[receiver].onRead(name(frame.from), frame.times)
     }
 
     private fun name(process: Int) = "incarnation-$process"
@@ -64,32 +67,32 @@
 
         it("make a frame seem as old as the round trip and the time since the last frame in the other direction, and no older") {
             var now = 0L
-            val a = FrameStamps(OffsetClock(0) { now })
-            val b = FrameStamps(OffsetClock(7 * HOUR_MS) { now })
+            val a = FrameStamps(UptimeClock(OffsetClock(0) { now }))
+            val b = FrameStamps(UptimeClock(OffsetClock(7 * HOUR_MS) { now }))
             b.onRead("a", a.timesFor("b").also { now += 5 })
             now += 150
             val times = b.timesFor("a")
             now += 5
-            a.onRead("b", times) shouldBeLessThanOrEqual 160
+            now - a.onRead("b", times) shouldBeLessThanOrEqual 160
         }
 
         it("date nothing before the first stamp of the receiver was read, nor after it was forgotten") {
-            val stamps = FrameStamps(OffsetClock(0) { 50 })
-            stamps.onRead("peer", stamps.timesFor("peer")) shouldBe FrameStamps.UNKNOWN_AGE_MS
-            stamps.onRead("peer", stamps.timesFor("peer")) shouldBe 0
+            val stamps = FrameStamps(UptimeClock(OffsetClock(0) { 50 }))
+            stamps.onRead("peer", stamps.timesFor("peer")) shouldBe FrameStamps.UNKNOWN_DATE
+            stamps.onRead("peer", stamps.timesFor("peer")) shouldBe 50
             stamps.forget("peer")
-            stamps.onRead("peer", stamps.timesFor("peer")) shouldBe FrameStamps.UNKNOWN_AGE_MS
+            stamps.onRead("peer", stamps.timesFor("peer")) shouldBe FrameStamps.UNKNOWN_DATE
         }
 
         it("go on when the counter of their milliseconds wraps") {
             var now = (1L shl 31) - 100
-            val a = FrameStamps(OffsetClock(0) { now })
-            val b = FrameStamps(OffsetClock(0) { now })
+            val a = FrameStamps(UptimeClock(OffsetClock(0) { now }))
+            val b = FrameStamps(UptimeClock(OffsetClock(0) { now }))
             b.onRead("a", a.timesFor("b"))
             now += 200
             b.onRead("a", a.timesFor("b"))
             val times = b.timesFor("a")
             now += 70
-            a.onRead("b", times) shouldBe 70
+            now - a.onRead("b", times) shouldBe 70
         }
     })
