Look at clients' connections as soon as requests are accepted

Requests were accepted a moment before the look at their connections was set up, so that a heartbeat could have spoken for clients without it. Found by reading.

--- a/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
@@ -59,8 +59,8 @@
         val vm = FleetVm(settings, platformPorts(settings.store.toString()), context = startEventLoopThread("fleet"))
         val clients = PlatformClients(vm, vm.scope, settings.clients.listen(), settings.readiness?.listen())
         runBlocking { vm.start() }
-        clients.start()
         vm.pollClients = clients::poll
+        clients.start()
         // SIGHUP requests a reload of the settings. Without a handler it would end the JVM.
         val isReloadRequested = AtomicBoolean()
         Signal.handle(Signal("HUP")) { isReloadRequested.set(true) }
