--- a/src/main/kotlin/dandelionpoint/coordination/fleet/RunOrder.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/RunOrder.kt
@@ -17,13 +17,12 @@
 internal data class AttemptKey(val entryVm: String, val jobId: String, val number: Long)
 
 /**
- * A run to be placed on a worker of [pool]. [origin] is the incarnation of the VM that dispatches the job; the run is stopped when that
- * VM is lost. [dispatch] is the origin's number of the submission. [entryVm] is the incarnation of the VM that the job's client is
- * connected to, [origin] if it is unknown; the client waits for the job until [deadlineAt], in ms on the monotonic clock of the VM that
- * holds this order. [estimateMs] is the expected run time in ms. [avoid] is the worker of an earlier, unsuccessful run of the task, used
- * only as a last choice. If the earlier run [hasFailed] there, that worker is not used at all while another one of the cell can run the
- * task, since a task has few attempts. [wantedAt] is the
- * date at which the request for a remote run says that it was wanted, see [RunDemand].
+ * A run to be placed on a worker of [pool]. [origin] is the incarnation of the VM that dispatches the job; the run is stopped when that VM
+ * is lost. [dispatch] is the origin's number of the submission. [entryVm] is the incarnation of the VM that the job's client is connected
+ * to, [origin] if it is unknown; the client waits for the job until [deadlineAt], in ms on the monotonic clock of the VM that holds this
+ * order. [estimateMs] is the expected run time in ms. [avoid] is the worker of an earlier, unsuccessful run of the task, used only as a
+ * last choice. If the earlier run [hasFailed] there, that worker is not used at all while another one of the cell can run the task, since
+ * a task has few attempts. [wantedAt] is the date at which the request for a remote run says that it was wanted, see [RunDemand].
  */
 internal data class RunOrder(
     val run: TaskRun,
