--- a/src/test/kotlin/dandelionpoint/fleet/SimulationScenario.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/SimulationScenario.kt
@@ -46,7 +46,7 @@
     SimulationScenario("with faults of all kinds", FaultKind.SIMPLE, 9, 14),
     // Guards against a lease that counts from when a heartbeat is read, although its sender was killed before.
     long("with VMs killed while others are paused", listOf(FaultKind.VM_KILLED_BESIDE_PAUSE), 96, 109, 233),
-    // Guards against a VM that resumes and reports itself alive before it has looked whether its clients have left.
+    // Guards against leases renewed, and late requests carried out, by a VM that has just resumed.
     long("with VMs killed after a pause", listOf(FaultKind.VM_KILLED_AFTER_PAUSE), 150, 156, 268),
     // Guards against a request that was held up and is acted on as if it had been sent when it is read.
     long("with long runs and one-way cuts", listOf(FaultKind.ONE_WAY_CUT), 26, 27, 142, 145),
