--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -28,9 +28,34 @@
 
     volatile WriteObserver observer;
 
+    /** An address of the store that one machine uses. While it is silent, calls there get no response; nothing is done. */
+    final class Door {
+        final int port = Web.freePort();
+        volatile boolean silent;
+        /** When the last transaction was done here, in ms of the script. */
+        volatile long lastWriteMs;
+
+        Door() throws Exception {
+            new Web(port, (method, path, query, headers, body) -> {
+                if (silent) {
+                    while (silent) Thread.sleep(10);
+                    return null;
+                }
+                if (path.equals("/v1/rows-tx")) lastWriteMs = World.ms();
+                return handle(path, query, body);
+            });
+        }
+    }
+
     Store() throws Exception {
         new Web(port, (method, path, query, headers, body) -> {
             if (busy) return new Web.Answer(503, "{}");
+            return handle(path, query, body);
+        });
+    }
+
+    private Web.Answer handle(String path, String query, byte[] body) throws Exception {
+        {
             Map<String, String> q = parameters(query);
             return switch (path) {
                 case "/v1/rows-get" -> get(q);
@@ -38,7 +63,7 @@
                 case "/v1/rows-tx" -> transact(Json.object(body));
                 default -> new Web.Answer(404, "{}");
             };
-        });
+        }
     }
 
     private static Map<String, String> parameters(String query) {
--- a/review/standin-2/Takeover.java
+++ b/review/standin-2/Takeover.java
@@ -49,7 +49,7 @@
         clients.setDaemon(true);
         clients.start();
         World.sleep(8_000);
-        for (int round = 0; round < 9; round++) {
+        for (int round = 0; round < 12; round++) {
             Map<String, Integer> owners = World.owners(store);
             World.note("claims: " + owners);
             World.Vm owner = owners.getOrDefault("vm-a", 0) >= owners.getOrDefault("vm-b", 0) ? first : second;
@@ -57,7 +57,6 @@
                 owner.kill();
                 World.sleep(1_000);
                 owner.start();
-                World.VMS.add(owner);
                 World.await("the VM is ready again", 20_000, owner::isReady);
             }
             World.sleep(5_500);
--- a/review/standin-2/Web.java
+++ b/review/standin-2/Web.java
@@ -58,11 +58,15 @@
         server.stop(0);
     }
 
+    /** A free port below those that outgoing connections get. */
     static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
+        while (true) {
+            int port = java.util.concurrent.ThreadLocalRandom.current().nextInt(12_000, 30_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // It is in use.
+            }
         }
     }
 }
--- a/review/standin-2/World.java
+++ b/review/standin-2/World.java
@@ -22,11 +22,13 @@
     private static PrintWriter record;
     static final List<Vm> VMS = new ArrayList<>();
     static Path folder;
+    private static Path temporary;
     static boolean trouble;
 
     /** Begins a script with its folder as the first argument, and limits it to 110 s. */
     static void begin(String[] arguments) throws IOException {
         folder = Path.of(arguments[0]);
+        temporary = Files.createTempDirectory("case");
         trouble = !"0".equals(System.getenv("TROUBLE"));
         record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
         note("trouble " + trouble);
@@ -34,7 +36,7 @@
             note("the script failed: " + failure);
             finish(2);
         });
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> VMS.forEach(vm -> vm.process.destroyForcibly())));
+        Runtime.getRuntime().addShutdownHook(new Thread(World::endAll));
         Thread guard = new Thread(() -> {
             sleep(110_000);
             note("the script took too long");
@@ -44,9 +46,20 @@
         guard.start();
     }
 
+    /** Ends all processes that the script has started, and removes its files but the record. */
+    private static void endAll() {
+        for (Vm vm : VMS) {
+            vm.process.destroyForcibly();
+            vm.process.onExit().join();
+        }
+        File[] files = temporary.toFile().listFiles();
+        for (File file : files == null ? new File[0] : files) file.delete();
+        temporary.toFile().delete();
+    }
+
     static void finish(int code) {
         note("exit " + code + (code == 1 ? ": the rule was broken" : code == 0 ? ": the rule held" : ": the case could not run"));
-        VMS.forEach(vm -> vm.process.destroyForcibly());
+        endAll();
         Runtime.getRuntime().halt(code);
     }
 
@@ -92,18 +105,16 @@
         Process process;
 
         Vm(String name, String zone, Store store, Vm seed) throws IOException {
-            this(name, zone, store, seed == null ? 0 : seed.peers);
+            this(name, zone, store.port, seed);
         }
 
-        /** [seedPort] is the port of the VM's seed, 0 if that is the VM itself. */
-        Vm(String name, String zone, Store store, int seedPort) throws IOException {
+        Vm(String name, String zone, int storePort, Vm seed) throws IOException {
             this.name = name;
-            settings = Files.createTempFile("settings", ".conf");
-            settings.toFile().deleteOnExit();
+            settings = temporary.resolve(name + ".conf");
             Files.writeString(settings, template(Map.ofEntries(
                 Map.entry("node_name", name), Map.entry("region", "r"), Map.entry("zone", zone), Map.entry("listen.front", "127.0.0.1:" + clients),
                 Map.entry("listen.ready", "127.0.0.1:" + readiness), Map.entry("listen.control", "127.0.0.1:" + peers),
-                Map.entry("seeds", "127.0.0.1:" + (seedPort == 0 ? peers : seedPort)), Map.entry("platform.address", "127.0.0.1:" + store.port),
+                Map.entry("seeds", "127.0.0.1:" + (seed == null ? peers : seed.peers)), Map.entry("platform.address", "127.0.0.1:" + storePort),
                 Map.entry("bounds.max_hold_ms", "1000"), Map.entry("bounds.grace_s", "6"), Map.entry("limits.cpu_share", "0.75"), Map.entry("limits.cores", "1"))));
             start();
             VMS.add(this);
@@ -113,9 +124,8 @@
             List<String> command = Arrays.asList(runCommand().split(" "));
             ProcessBuilder builder = new ProcessBuilder(command);
             builder.environment().put("DANDELIONPOINT_SETTINGS", settings.toString());
-            Path log = Files.createTempFile("vm", ".log");
-            log.toFile().deleteOnExit();
-            if (System.getenv("KEEP_LOGS") != null) log = Path.of(System.getenv("KEEP_LOGS"), name + "-" + ms() + ".log");
+            String kept = System.getenv("KEEP_LOGS");
+            Path log = (kept == null ? temporary : Path.of(kept)).resolve(name + "-" + ms() + ".log");
             builder.redirectErrorStream(true).redirectOutput(log.toFile());
             process = builder.start();
             note("started " + name + " clients " + clients);
