--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -44,8 +44,8 @@
 )
 
 /**
- * The cell [name], owned under the fencing token [token]. [responseTimes] are those of the workers to the controller's calls. Times are in ms on the VM's monotonic clock unless stated otherwise, and
- * dates are those of [demand].
+ * The cell [name], owned under the fencing token [token]. [responseTimes] are those of the workers to the controller's calls. Times are in
+ * ms on the VM's monotonic clock unless stated otherwise, and dates are those of [demand].
  */
 internal class Cell(
     val name: String,
