Let remote runs wait at the cell owner, in one order with its own tasks

Cause: a remote run that fitted on no worker was refused at once, so that capacity went to whichever VM asked first after it became free. Less urgent work of one VM got capacity that more urgent work of another VM needed. A job whose only runs had been refused counted as started, was held until its deadline and was then reported as perhaps run. Admission counted long jobs as ahead of urgent ones.

Change: WaitingRuns holds the runs that other VMs have requested, at most 512, by priority and then by the latest start on time. The scheduling pass of Dispatch serves them and this VM's own jobs in one order; its cost is bounded as before (16 jobs, or 32 runs of other VMs). RemoteRunRequest has priority, maxWaitMs and slackMs; without them a run is refused at once, as before. A run sent to capacity that was announced as free waits for at most 50 ms. Waiting runs are answered NOT_STARTED at their latest start, on cancellation, when the dispatching or the client's VM is lost, when the cell is lost, when the VM stops, and after a pause of its process. A job counts as started only while a run is placed or after one that may have been started. Admission compares priorities first. No message is added; a run that arrives while nothing waits is placed at once.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -18,6 +18,9 @@
 
     /** Stop the run [key], which was placed at [location] and whose job has ended. */
     data class StopRun(val key: RunKey, val location: RunLocation) : DispatchEvent
+
+    /** The run of [order], which another VM has requested, has waited until its latest start and will not be started. */
+    data class WaitingRunExpired(val order: RunOrder) : DispatchEvent
 }
 
 /**
@@ -26,6 +29,9 @@
  */
 internal fun interface RunPlacer {
     fun place(order: RunOrder): RunLocation?
+
+    /** Does the same for a run that another VM has requested, in this VM's cells only. Returns false if it fits on no worker. */
+    fun placeForPeer(order: RunOrder): Boolean = false
 }
 
 /**
@@ -62,8 +68,15 @@
     val attempt: AttemptKey get() = AttemptKey(entryVm, job.id, number)
 }
 
-/** The jobs in progress. [origin] is this VM's incarnation. All times are in ms on the VM's monotonic clock. */
-internal class Dispatch(private val origin: String, private val rules: DispatchRules = DispatchRules()) {
+/**
+ * The jobs in progress. [origin] is this VM's incarnation. A scheduling pass also serves [waitingRuns], the runs that other VMs have
+ * requested. All times are in ms on the VM's monotonic clock.
+ */
+internal class Dispatch(
+    private val origin: String,
+    private val rules: DispatchRules = DispatchRules(),
+    private val waitingRuns: WaitingRuns = WaitingRuns(),
+) {
     private val lock = Any()
     private val jobs = LinkedHashMap<String, DispatchedJob>()
     private val stopping = StoppingRuns()
@@ -74,6 +87,9 @@
     var hasWaitingTasks = false
         private set
 
+    /** True if a task of this VM, or a run that another VM has requested, waits. */
+    val hasWaitingWork: Boolean get() = hasWaitingTasks || !waitingRuns.isEmpty
+
     /** Answers to the latest attempts, for offers that arrive again, or only after their cancellation. */
     private val answers = ExpiringMap<AttemptKey, JobOutcome>()
 
@@ -107,36 +123,66 @@
         return if (aheadCoreMs > 0 && endsAt > latestEnd) notRun("expected to end ${endsAt - job.arrivedAt} ms after its arrival") else null
     }
 
-    private fun isAhead(other: DispatchedJob, job: DispatchedJob) = latestStartOnTime(other) <= latestStartOnTime(job)
+    private fun isAhead(other: DispatchedJob, job: DispatchedJob) =
+        compareValuesBy(other, job, { it.queue.priority }, ::latestStartOnTime) <= 0
 
     /** Latest time at which the remaining tasks must start for the job to be on time. Smaller values are more urgent. */
     private fun latestStartOnTime(job: DispatchedJob): Long = job.arrivedAt + job.objectiveMs - job.remainingChainMs()
 
     private fun notRun(reason: String) = JobOutcome.NotRun(reason, rules.retryAfterMs)
 
-    /** Places waiting tasks, by queue priority and then by urgency of their jobs. */
+    /** Places waiting tasks and the waiting runs of other VMs, by queue priority and then by urgency. */
     fun schedule(now: Long, placer: RunPlacer): List<DispatchEvent> = synchronized(lock) { placeWaitingTasks(now, placer) }
 
     private fun placeWaitingTasks(now: Long, placer: RunPlacer): List<DispatchEvent> {
         stopping.prune(now)
-        val events = expire(now).toMutableList()
-        var unplacedJobs = 0
-        for (job in jobs.values.sortedWith(compareBy({ it.queue.priority }, ::latestStartOnTime))) {
+        val events = expire(now) + waitingRuns.removeExpired(now).map { DispatchEvent.WaitingRunExpired(it) }
+        SchedulingPass(now, placer).run()
+        hasWaitingTasks = jobs.values.any { it.hasWaitingTasks }
+        return events
+    }
+
+    /**
+     * Goes through this VM's jobs and the waiting runs of other VMs in one order. It ends after [MAX_UNPLACED_COST], since each attempt to
+     * place a run costs processor time. Nothing less urgent is placed after that: a more urgent run may not have been tried.
+     */
+    private inner class SchedulingPass(private val now: Long, private val placer: RunPlacer) {
+        private val runs = waitingRuns.inOrder()
+        private var nextRun = 0
+        private var unplacedCost = 0
+        private val hasEnded: Boolean get() = unplacedCost >= MAX_UNPLACED_COST
+
+        fun run() {
+            for (job in jobs.values.sortedWith(compareBy({ it.queue.priority }, ::latestStartOnTime))) {
+                placeRuns { it.isAheadOf(job) }
+                if (hasEnded) return
+                placeTasks(job)
+            }
+            placeRuns { true }
+        }
+
+        private fun RunOrder.isAheadOf(job: DispatchedJob) =
+            priority < job.queue.priority || (priority == job.queue.priority && onTimeStartAt < latestStartOnTime(job))
+
+        private fun placeRuns(isDue: (RunOrder) -> Boolean) {
+            while (!hasEnded && nextRun < runs.size && isDue(runs[nextRun])) {
+                if (!waitingRuns.startIfWaiting(runs[nextRun++].key) { placer.placeForPeer(it) }) unplacedCost++
+            }
+        }
+
+        private fun placeTasks(job: DispatchedJob) {
+            val onTimeStartAt = latestStartOnTime(job)
+            val latestStartAt = if (job.hasStarted) job.deadlineAt - job.remainingChainMs() else latestStart(job)
             for (task in job.waiting(now).filter { !stopping.mayRun(it.ref, now) }) {
-                val order = job.nextOrder(task, origin)
+                val order = job.nextOrder(task, origin, onTimeStartAt, latestStartAt)
                 val location = placer.place(order)
                 if (location == null) {
-                    unplacedJobs++
-                    break
+                    unplacedCost += UNPLACED_JOB_COST
+                    return
                 }
-                task.run = order.run.run
-                task.location = location
-                job.hasStarted = true
+                job.recordPlaced(task, order, location)
             }
-            if (unplacedJobs >= MAX_UNPLACED_JOBS) break
         }
-        hasWaitingTasks = jobs.values.any { it.hasWaitingTasks }
-        return events
     }
 
     /** Ends started jobs whose deadline has passed, and refuses jobs that have not started and can no longer be on time. */
@@ -168,7 +214,7 @@
         stopping.onEnd(key, endsAt = if (isReported) now else now + rules.lostRemoteRunDelayMs)
         val job = jobs[key.run.task.jobId]?.takeIf { it.dispatch == key.dispatch } ?: return@synchronized emptyList()
         val task = job.task(key.run.task)?.takeIf { it.run == key.run.run && it.location != null } ?: return@synchronized emptyList()
-        recordEnd(task, end, avoid, now)
+        recordEnd(job, task, end, avoid, now)
         hasWaitingTasks = hasWaitingTasks || job.hasWaitingTasks
         when {
             job.isDone -> finish(job, JobOutcome.Completed, now)
@@ -178,9 +224,9 @@
         }
     }
 
-    private fun recordEnd(task: DispatchedTask, end: RunEnd, avoid: String?, now: Long) {
+    private fun recordEnd(job: DispatchedJob, task: DispatchedTask, end: RunEnd, avoid: String?, now: Long) {
         val wasRemote = task.location is RunLocation.Remote
-        task.location = null
+        job.recordEnded(task, end)
         task.hasFailedLast = end == RunEnd.FAILED
         when (end) {
             RunEnd.DONE -> task.isDone = true
@@ -285,8 +331,11 @@
         synchronized(lock) { jobs.values.filter { !it.hasStarted }.groupingBy { it.queue.name }.eachCount() }
 
     private companion object {
-        /** A scheduling pass ends after this many jobs with a task that fits on no worker. */
-        const val MAX_UNPLACED_JOBS = 16
+        /** A scheduling pass ends when the tasks that fit on no worker have cost this much: 16 jobs or 32 runs of other VMs. */
+        const val MAX_UNPLACED_COST = 32
+
+        /** A job's task is tried in the cells of all VMs, a run of another VM only in the own ones. */
+        const val UNPLACED_JOB_COST = 2
 
         /** How long the answer to an attempt is kept, in ms: longer than an offer or its cancellation can be on its way. */
         const val ANSWER_KEPT_MS = 10_000L
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
@@ -3,6 +3,7 @@
 
 import dandelionpoint.protocol.fleet.FleetJob
 import dandelionpoint.protocol.fleet.JobQueue
+import dandelionpoint.protocol.fleet.RunEnd
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.TaskRun
 import kotlin.math.max
@@ -65,8 +66,14 @@
     /** Time from [arrivedAt] within which the job has to end to be on time, in ms. */
     val objectiveMs: Long = (queue.stretch * longestChainMs()).toLong() + queue.latencyTargetMs
 
-    /** True once a run of the job may have been started. */
-    var hasStarted = false
+    /** Number of runs that are in progress or being started. */
+    private var placedRuns = 0
+
+    /** True once a run of the job has ended that may have been started. */
+    private var hasEndedRun = false
+
+    /** True once a run of the job may have been started. A run that is known never to have started does not count. */
+    val hasStarted: Boolean get() = hasEndedRun || placedRuns > 0
 
     val isDone: Boolean get() = tasks.all { step -> step.all { it.isDone } }
 
@@ -79,6 +86,20 @@
         .filter { step -> job.steps[step].after.all { before -> tasks[before].all { it.isDone } } }
         .flatMap { step -> tasks[step].filter { it.isWaiting && it.notBefore <= now } }
 
+    /** The run of [order] of [task] has been placed at [location]. */
+    fun recordPlaced(task: DispatchedTask, order: RunOrder, location: RunLocation) {
+        task.run = order.run.run
+        task.location = location
+        placedRuns++
+    }
+
+    /** The run of [task] in progress has ended with [end]. */
+    fun recordEnded(task: DispatchedTask, end: RunEnd) {
+        task.location = null
+        placedRuns--
+        if (end != RunEnd.NOT_STARTED) hasEndedRun = true
+    }
+
     fun placed(): List<DispatchedTask> = tasks.flatten().filter { it.location != null && !it.isDone }
 
     /** Work of the tasks that are neither done nor placed, in core-ms by the client's estimates. */
@@ -98,8 +119,11 @@
         return ends.maxOrNull() ?: 0L
     }
 
-    /** The order for the next run of [task], dispatched by the VM with the incarnation [origin]. */
-    fun nextOrder(task: DispatchedTask, origin: String): RunOrder {
+    /**
+     * The order for the next run of [task], dispatched by the VM with the incarnation [origin]. For [onTimeStartAt] and [latestStartAt] see
+     * [RunOrder].
+     */
+    fun nextOrder(task: DispatchedTask, origin: String, onTimeStartAt: Long, latestStartAt: Long): RunOrder {
         val step = job.steps[task.ref.step]
         return RunOrder(
             run = TaskRun(task.ref, task.run + 1),
@@ -116,6 +140,9 @@
             dispatch = dispatch,
             entryVm = entryVm,
             deadlineAt = deadlineAt,
+            priority = queue.priority,
+            onTimeStartAt = onTimeStartAt,
+            latestStartAt = latestStartAt,
         )
     }
 
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -18,6 +18,7 @@
 import dandelionpoint.coordination.fleet.ProcessPause
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
+import dandelionpoint.coordination.fleet.WaitingRuns
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.UptimeClock
 import dandelionpoint.protocol.fleet.FleetJob
@@ -81,11 +82,12 @@
     private val demand = PeerDemand(incarnation, peers.liveness, uptime)
     private val tables = FleetTables(ports, Tables(), clock, rules)
     private val cells = OwnedCells(scope, ports.workers, Runs(), { tables.workers() }, clock, rules, demand)
-    private val dispatch = Dispatch(incarnation)
+    private val waitingRuns = WaitingRuns()
+    private val dispatch = Dispatch(incarnation, waitingRuns = waitingRuns)
     private val handovers =
         CellHandovers(scope, network, cells, peers.formers, ::openJobs, { peers.liveness.isLive(it) }, clock)
     private val runner = JobRunner(scope, dispatch, peers.remote, network, Fleet(), clock)
-    private val remoteRuns = RemoteRunServer({ cells.place(it) != null }, { cells.stopRun(it) }, clock)
+    private val remoteRuns = RemoteRunServer(Capacity(), waitingRuns, clock)
     private val plan = CellPlan()
     private val unserved = UnservedDataCentres(scope, { tables.workers() }, ports.canConnect, clock)
     private val claims = CellClaims(ports.store, Claims(), plan, rules, clock)
@@ -93,7 +95,7 @@
     private val admission = WorkAdmission(PauseDetector(clock, TICK_MS), Pauses(), clock, rules)
     private lateinit var self: VmIdentity
     private val forwarder = JobForwarder(scope, { self }, runner, network, { peers.liveness.isLive(it) }, ::routeOf, clock)
-    private val ownWork = OwnWork(cells, claims, dispatch, runner, forwarder)
+    private val ownWork = OwnWork(cells, claims, dispatch, runner, forwarder, waitingRuns)
     private val heartbeats = HeartbeatSender(
         network,
         settings.dataCentre,
@@ -222,6 +224,9 @@
     /** Names of the cells that this VM owns. */
     fun ownedCells(): Set<String> = cells.owned().map { it.cell.name }.toSet()
 
+    /** Number of runs of other VMs that wait for capacity in this VM's cells. */
+    val waitingRunCount: Int get() = waitingRuns.size
+
     private fun routeOf(jobId: String): DispatchRoute {
         admission.check()
         return if (dispatch.hasJob(jobId)) DispatchRoute.Here else ownership.route(jobId)
@@ -273,6 +278,23 @@
         override fun hasTask(task: TaskRef): Boolean = cells.hasTask(task)
 
         override fun stopRun(key: RunKey) = cells.stopRun(key)
+
+        override fun refuseWaiting(order: RunOrder) = remoteRuns.ended(order.key, RunEnd.NOT_STARTED)
+
+        override fun checkPause() = admission.check()
+    }
+
+    /** What remote runs of other VMs may use. */
+    private inner class Capacity : RemoteRunHost {
+        override fun place(order: RunOrder): Boolean = cells.place(order) != null
+
+        override fun stopRun(key: RunKey) = cells.stopRun(key)
+
+        override val hasWaitingWork: Boolean get() = dispatch.hasWaitingWork
+
+        override fun mayWait(order: RunOrder): Boolean = !isStopping && cells.couldRun(order)
+
+        override fun onWaiting() = runner.wake()
     }
 
     private inner class Runs : CellListener {
@@ -314,6 +336,7 @@
         override fun lost(cell: String, successor: VmIdentity?, handover: Boolean) {
             val handedOver = cells.lose(cell, handover && successor != null)
             if (handedOver != null && successor != null) handovers.begin(handedOver, successor)
+            remoteRuns.refuseWaiting("no worker left that can run it") { !cells.couldRun(it) }
             heartbeats.announceChange()
         }
 
@@ -348,12 +371,9 @@
         heartbeat.cancelledRuns.forEach { remoteRuns.stop(RunKey(from.incarnation, it.dispatch, it.run)) }
         // The dispatching VM may not have heard of it, while this heartbeat reaches the owners of the job's runs.
         if (heartbeat.cancelledJobs.isNotEmpty()) {
-            cells.stopRunsOfClient(
-                from.incarnation,
-                heartbeat.cancelledJobs.mapTo(HashSet()) {
-                    it.jobId
-                },
-            )
+            val jobIds = heartbeat.cancelledJobs.mapTo(HashSet()) { it.jobId }
+            remoteRuns.refuseWaiting("cancelled") { it.entryVm == from.incarnation && it.task.jobId in jobIds }
+            cells.stopRunsOfClient(from.incarnation, jobIds)
         }
     }
 
@@ -386,6 +406,8 @@
         override fun paused(pause: ProcessPause, isLost: Boolean) {
             log.warn { "event=stood_still pause_ms=${pause.maxMs}" }
             peers.liveness.onProcessPause(pause.monotonicMs, clock.millis())
+            // Their latest starts may have passed, also if the monotonic clock has not counted the pause.
+            remoteRuns.refuseWaiting("the VM process was paused") { true }
             if (!isLost) return
             claims.onProcessPause(pause)
             runner.onProcessPause(pause.maxMs)
@@ -400,6 +422,7 @@
         log.info { "event=peer_lost peer=${vm.name} incarnation=${vm.incarnation}" }
         network.drop(vm)
         peers.remove(vm)
+        remoteRuns.refuseWaiting("a VM that wants it is lost") { it.origin == vm.incarnation || it.entryVm == vm.incarnation }
         runner.peerLost(vm)
         cells.peerLost(vm)
     }
@@ -412,6 +435,7 @@
         val begin = clock.millis()
         log.info { "event=stopping open=${openRequests()} jobs=${dispatch.size()}" }
         heartbeats.announceChange()
+        remoteRuns.refuseWaiting("the VM stops") { true }
         val latest = begin + (settings.graceSeconds * MS_PER_S).toLong() - EXIT_MARGIN_MS
         delay(LOAD_BALANCER_DELAY_MS)
         while (clock.millis() < latest && openRequests() + dispatch.size() + cells.runCount() > 0) delay(TICK_MS)
--- a/src/main/kotlin/dandelionpoint/fleet/HeartbeatContents.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/HeartbeatContents.kt
@@ -4,6 +4,7 @@
 import dandelionpoint.coordination.fleet.Cells
 import dandelionpoint.coordination.fleet.Dispatch
 import dandelionpoint.coordination.fleet.PeerLiveness
+import dandelionpoint.coordination.fleet.WaitingRuns
 import dandelionpoint.protocol.peer.FleetHeartbeat
 import dandelionpoint.protocol.peer.VmIdentity
 
@@ -27,6 +28,7 @@
     val dispatch: Dispatch,
     val runner: JobRunner,
     val forwarder: JobForwarder,
+    val waitingRuns: WaitingRuns,
 )
 
 /** The heartbeats of the VM with [incarnation] in [dataCentre]. */
@@ -65,7 +67,7 @@
 
     override fun partners(): Set<VmIdentity> = work.runner.partners() + work.forwarder.dispatchers()
 
-    override fun dependents(): Set<String> = work.cells.origins() + work.dispatch.entryVms() - incarnation
+    override fun dependents(): Set<String> = work.cells.origins() + work.waitingRuns.origins() + work.dispatch.entryVms() - incarnation
 
     override fun sending() = host.sending()
 
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -55,6 +55,12 @@
 
     /** Stops a run of this VM's jobs in its own cells. */
     fun stopRun(key: RunKey)
+
+    /** The run of [order], which another VM has requested, has waited until its latest start and will not be started. */
+    fun refuseWaiting(order: RunOrder) = Unit
+
+    /** Handles a pause of this VM's process that has not been handled yet. */
+    fun checkPause() = Unit
 }
 
 /** Runs the jobs of [dispatch]. */
@@ -70,7 +76,11 @@
     private val remoteRuns = ConcurrentHashMap<RunKey, RemoteRun>()
     private val unconfirmedStops = ConcurrentHashMap.newKeySet<RunKey>()
     private val wakeUp = Channel<Unit>(Channel.CONFLATED)
-    private val placer = RunPlacer { place(it) }
+    private val placer = object : RunPlacer {
+        override fun place(order: RunOrder): RunLocation? = this@JobRunner.place(order)
+
+        override fun placeForPeer(order: RunOrder): Boolean = view.place(order, avoidsWorker = false) != null
+    }
 
     /** Starts the loop that places waiting tasks on workers. */
     fun start() {
@@ -78,11 +88,17 @@
             val guard = LoopGuard("schedule")
             while (isActive) {
                 wakeUp.receive()
-                guard.attempt("schedule") { handle(dispatch.schedule(clock.millis(), placer)) }
+                guard.attempt("schedule") { schedule() }
             }
         }
     }
 
+    /** A run that waited during a pause of the process may not be wanted any more, so that the pause is handled first. */
+    private fun schedule() {
+        view.checkPause()
+        handle(dispatch.schedule(clock.millis(), placer))
+    }
+
     /** Makes the loop try to place waiting tasks, after a change that may let one start. */
     fun wake() {
         wakeUp.trySend(Unit)
@@ -116,7 +132,7 @@
 
     private fun placeRemotely(order: RunOrder): RunLocation? {
         val (vm, location) = remote.reserve(order) ?: return null
-        val run = RemoteRun(order, vm)
+        val run = RemoteRun(order, vm, latestStartAt = minOf(order.latestStartAt, clock.millis() + MAX_REMOTE_WAIT_MS))
         remoteRuns[order.key] = run
         scope.launch { runRemotely(run) }
         return location
@@ -164,6 +180,9 @@
             remainingMs = run.deadlineAt - now,
             entryVm = entryVm,
             entryAgeMs = view.demandAgeMs(entryVm),
+            priority = priority,
+            maxWaitMs = (run.latestStartAt - now).coerceAtLeast(0),
+            slackMs = onTimeStartAt - now,
         )
     }
 
@@ -220,12 +239,12 @@
 
     /** Capacity may have become free, here or at another VM: makes the loop try to place waiting tasks. */
     fun onCapacity() {
-        if (dispatch.hasWaitingTasks) wake()
+        if (dispatch.hasWaitingWork) wake()
     }
 
-    /** Makes the loop check deadlines and waiting tasks, if there are jobs. */
+    /** Makes the loop check deadlines, waiting tasks and waiting runs of other VMs, if there are any. */
     fun tick() {
-        if (dispatch.size() > 0) wake()
+        if (dispatch.size() > 0 || dispatch.hasWaitingWork) wake()
     }
 
     private fun handle(events: List<DispatchEvent>) = events.forEach { event ->
@@ -242,6 +261,8 @@
                 log.info { "event=run_stop_requested ${event.key.run.logFields()} location=${event.location}" }
                 stopRun(event.key, event.location)
             }
+
+            is DispatchEvent.WaitingRunExpired -> view.refuseWaiting(event.order)
         }
     }
 
@@ -257,8 +278,11 @@
         }
     }
 
-    /** A run in a cell of [vm]. The client waits for its job until [deadlineAt], in ms on this VM's monotonic clock. */
-    private class RemoteRun(val order: RunOrder, val vm: VmIdentity) {
+    /**
+     * A run in a cell of [vm]. It is not started there at [latestStartAt] or later, and the client waits for its job until [deadlineAt],
+     * both in ms on this VM's monotonic clock.
+     */
+    private class RemoteRun(val order: RunOrder, val vm: VmIdentity, val latestStartAt: Long) {
         val key: RunKey = order.key
         val deadlineAt: Long = order.deadlineAt
 
@@ -271,6 +295,12 @@
         /** Longest wait for the reply to one request for a remote run, which comes when the run has ended, in ms. */
         const val REMOTE_RUN_TIMEOUT_MS = 15_000L
 
+        /**
+         * Longest wait of a remote run for capacity that was announced free and has been taken meanwhile, in ms. Capacity becomes free
+         * every few ms; a run that has waited for longer may find capacity elsewhere.
+         */
+        const val MAX_REMOTE_WAIT_MS = 50L
+
         /** The most requests for one run that are sent again because they took too long on their way. */
         const val MAX_EXPIRED_REQUESTS = 3
 
--- a/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
@@ -83,6 +83,9 @@
         return chosen?.cell?.name
     }
 
+    /** True if a worker of the owned cells can run [order], which names none to avoid, now or after other runs have ended. */
+    fun couldRun(order: RunOrder): Boolean = clock.millis().let { now -> owned().any { it.cell.couldRunElsewhere(order, now) } }
+
     /** Free capacity of the workers of all owned cells, by pool. */
     fun freeCapacity(): Map<String, List<FreeCapacity>> {
         val now = clock.millis()
--- a/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
@@ -118,7 +118,7 @@
         val entryVm = request.entryVm
         val entryAgeMs = request.entryAgeMs
         if (entryVm != null && entryAgeMs != null) state.liveness.onReport(from.incarnation, entryVm, entryAgeMs, sentAt, now)
-        return targets.remoteRuns.run(from, request, demand.limited(sentAt - (entryAgeMs ?: 0)), isExpired)
+        return targets.remoteRuns.run(from, request, demand.limited(sentAt - (entryAgeMs ?: 0)), isExpired, demand.now() - sentAt)
     }
 
     /** True if [message] may be older than [maxAgeMs]. */
--- a/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
@@ -70,11 +70,13 @@
 data object CancelAnswer : FleetMessage
 
 /**
- * Asks another VM to start a run at once in one of its cells, for a job that the sender dispatches. The reply, [RunAnswer], is sent when
- * the run has ended. [dispatch] is the sender's number of the submission: with it, a repeated request is recognised. The run is stopped if
- * it has not ended after [remainingMs] ms, when the client no longer waits. [entryVm] is the incarnation of the VM that the client is
- * connected to, null for the sender; the run is stopped if that VM is lost. It was certainly there [entryAgeMs] ms before the request was
- * made.
+ * Asks another VM to start a run in one of its cells, for a job that the sender dispatches. The reply, [RunAnswer], is sent when the run
+ * has ended. A run that fits on no worker may wait there for [maxWaitMs], counted from when the request was made; with 0 it is refused
+ * at once. Waiting runs are ordered by [priority], 0 first, and then by [slackMs], the time within which the run has to start for its
+ * job to be on time, negative if that is over. [dispatch] is the sender's number of the submission: with it, a repeated request is
+ * recognised. The run is stopped if it has not ended after [remainingMs] ms, when the client no longer waits. [entryVm] is the incarnation
+ * of the VM that the client is connected to, null for the sender; the run is stopped if that VM is lost. It was certainly there
+ * [entryAgeMs] ms before the request was made.
  */
 @Serializable
 @SerialName("RunLoan")
@@ -91,6 +93,9 @@
     val remainingMs: Long? = null,
     val entryVm: String? = null,
     val entryAgeMs: Long? = null,
+    val priority: Int = 0,
+    val maxWaitMs: Long = 0,
+    val slackMs: Long = 0,
 ) : FleetMessage
 
 /**
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/DispatchTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/DispatchTest.kt
@@ -95,6 +95,26 @@
         }
 
         describe("a refusal") {
+            // Guards against a job that is held until its deadline and then reported as started, although its only run was refused.
+            it("reports 'not run' for a job whose runs are all known never to have started") {
+                val dispatch = Dispatch(ORIGIN)
+                val placer = FakePlacer(1)
+                dispatch.submit(submission(job("a")), CORES, 0, placer)
+                dispatch.onRunEnd(placer.placed.single().key, RunEnd.NOT_STARTED, "", 20).outcomes().shouldBeEmpty()
+                dispatch.schedule(200, placer).outcomes().single().shouldBeInstanceOf<JobOutcome.NotRun>()
+            }
+
+            it("does not report 'not run' while a run may still be started, nor after one that was lost") {
+                val dispatch = Dispatch(ORIGIN)
+                val placer = FakePlacer(2)
+                dispatch.submit(submission(job("a", tasks = 2)), CORES, 0, placer)
+                dispatch.onRunEnd(placer.placed[0].key, RunEnd.NOT_STARTED, "", 20)
+                dispatch.schedule(200, placer).outcomes().shouldBeEmpty()
+                dispatch.onRunEnd(placer.placed[1].key, RunEnd.LOST, "w", 210)
+                dispatch.schedule(220, placer).outcomes().shouldBeEmpty()
+                dispatch.cancelAll("paused", 230).outcomes().single().shouldBeInstanceOf<JobOutcome.GivenUp>()
+            }
+
             it("reports 'not run' only for a job of which no task was started") {
                 val dispatch = Dispatch(ORIGIN)
                 val placer = FakePlacer(1)
@@ -124,6 +144,17 @@
                 outcome.shouldBeInstanceOf<JobOutcome.NotRun>().retryAfterMs shouldBe DispatchRules().retryAfterMs
             }
 
+            // Guards against urgent jobs that are refused because of long ones, which they will be placed before.
+            it("is not returned because of less urgent work, however long that is") {
+                val dispatch = Dispatch(ORIGIN)
+                repeat(8) {
+                    dispatch.submit(submission(job("long$it", estimateMs = 900), queue(priority = 2)), CORES, 0, FakePlacer(0))
+                }
+                val late = Submission(job("a"), queue(priority = 0), ORIGIN, arrivedAt = 600, deadlineAt = 2_100)
+                dispatch.submit(late, CORES / 4, 590, FakePlacer(0)).outcomes().filter { it is JobOutcome.NotRun }.shouldBeEmpty()
+                dispatch.hasJob("a") shouldBe true
+            }
+
             it("is not returned while another VM is taking a cell over: the job waits for a usable worker") {
                 val dispatch = Dispatch(ORIGIN)
                 dispatch.submit(submission(job("a")), 0.0, 0, FakePlacer(0)).outcomes().shouldBeEmpty()
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
@@ -229,6 +229,8 @@
                 }
 
                 is DispatchEvent.StopRun -> handleCellEvents(cell.stopRuns(now) { it.key == event.key })
+
+                is DispatchEvent.WaitingRunExpired -> violations += "$now: ${event.order.run} waits, but no other VM has requested a run"
             }
         }
         while (pending.isNotEmpty()) start(pending.removeFirst())
--- a/src/test/kotlin/dandelionpoint/fleet/OneRunPerTaskTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/OneRunPerTaskTest.kt
@@ -4,6 +4,7 @@
 import ch.qos.logback.classic.Logger
 import dandelionpoint.fleet.simulation.FaultKind
 import dandelionpoint.fleet.simulation.FleetSimulation
+import dandelionpoint.fleet.simulation.Workload
 import dandelionpoint.testsupport.unlessKnownRed
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
@@ -19,6 +20,9 @@
     (it.first().toLong()..it.last().toLong()).toList()
 }
 
+/** Fewer waiting runs than this in an overloaded fleet would show that runs do not wait at the owners of cells. */
+private const val MIN_WAITING_RUNS = 10
+
 /** Number of seeds of a scenario whose first violation is printed. */
 private const val MAX_REPORTS = 3
 
@@ -31,6 +35,7 @@
         val simulation = scenario.simulate(seed)
         simulation.errors.shouldBeEmpty()
         simulation.completedJobs shouldBeGreaterThan 0
+        if (scenario.workload == Workload.OVERLOAD) simulation.waitingRuns shouldBeGreaterThan MIN_WAITING_RUNS
         if (simulation.violations.isNotEmpty()) {
             if (failingSeeds.size < MAX_REPORTS) println("${scenario.name}: ${simulation.violations.first()}")
             failingSeeds += seed
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
@@ -54,6 +54,9 @@
 
     val isUp: Boolean get() = current != null
     val isPaused: Boolean get() = current?.dispatcher?.isPaused == true
+
+    /** Number of runs of other VMs that wait for capacity in this VM's cells. */
+    val waitingRuns: Int get() = current?.vm?.waitingRunCount ?: 0
     val openClients: List<ClientConnection> get() = clients.filter { !it.isClosed }
 
     fun start() {
