Start no run by the labels of a worker's earlier incarnation

Cause: a worker that restarts under its id may be of another kind.

Change: a worker whose run list shows a later start than its entry gets no runs and announces no capacity until the entry of the later incarnation has been read. Its run list is polled meanwhile, so that one false start time does not keep it unusable.

Three tests placed a run on a restarted worker without its new entry, which is what is forbidden now; they get the entry first and check the same as before. The simulated fleet of StartOnceTest reads the list of workers each second, since its workers restart.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/LeasePlanner.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/LeasePlanner.kt
@@ -41,6 +41,9 @@
             // The answer shows when the untracked runs have ended.
             worker.untrackedRuns.isNotEmpty() -> LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs(worker, now))
 
+            // A start time that is later than the entry's may be false: the answer shows it once more.
+            !worker.hasCurrentEntry() -> LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs(worker, now))
+
             worker.handledEnd > worker.acknowledgedEnd -> LeaseCall(token, worker.handledEnd, leaseUntilMs = null, waitMs = 0)
 
             else -> return null
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -176,8 +176,14 @@
     /** True if [other] is reached at this worker's current address. */
     fun hasAddressOf(other: WorkerEntry): Boolean = entry.host == other.host && entry.port == other.port
 
+    /**
+     * False while the run list shows a later start than the entry. The entry has then the labels and the capacity of an earlier incarnation,
+     * and the present one may be of another kind. A start time of 0 is unknown.
+     */
+    fun hasCurrentEntry(): Boolean = entry.startedAtMs == 0L || startedAtMs <= entry.startedAtMs
+
     /** True if new runs may be started on this worker. */
-    fun isUsable(): Boolean = hasRunList && isReleased && isResponsive && !entry.isDraining
+    fun isUsable(): Boolean = hasRunList && hasCurrentEntry() && isReleased && isResponsive && !entry.isDraining
 
     /** True if the worker would be usable but for its first run list, which has not arrived yet. */
     fun isAwaitingRunList(): Boolean = !hasRunList && isReleased && isResponsive && !entry.isDraining
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/CellTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/CellTest.kt
@@ -255,6 +255,7 @@
                 val cell = Cell("akl-a", TOKEN).apply { receiveRunLists("w") }
                 val earlier = checkNotNull(cell.planPoll("w", 50))
                 cell.onReport(checkNotNull(cell.planPoll("w", 60)), report(1, startedAtMs = 99), 61)
+                cell.updateWorkers(listOf(worker("w", startedAtMs = 99)))
                 cell.started(order(), now = 70)
                 cell.onReport(earlier.copy(sentAt = 80), report(90, startedAtMs = 1), 90).shouldBeEmpty()
             }
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/OddWorkerAnswerTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/OddWorkerAnswerTest.kt
@@ -96,6 +96,7 @@
                 withWorker { cell ->
                     val late = checkNotNull(cell.planPoll("w", now))
                     answer { it.copy(startedAtMs = 99) }
+                    cell.updateWorkers(listOf(worker("w", startedAtMs = 99)))
                     start(order("a"))
                     cell.onReport(late, report(clockMs = 500_000), now).shouldBeEmpty()
                     checkNotNull(cell.planLease("w", now)).call.leaseUntilMs.shouldNotBeNull() shouldBeLessThan 500_000L
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/VirtualFleet.kt
@@ -133,6 +133,7 @@
         val end = now + ms
         while (now < end) {
             now += STEP_MS
+            if (now % LIST_READ_MS == 0L) cell.updateWorkers(workers.values.map { worker(it.id, startedAtMs = it.startedAtMs) })
             if (now < end - quietMs && chance(0.25)) submit()
             deliverLate()
             workers.values.filter { chance(faults.restart) }.forEach { restart(it) }
@@ -336,6 +337,9 @@
     private companion object {
         const val STEP_MS = 10L
 
+        /** Interval at which the list of workers is read, which has the present incarnation of each, in ms. */
+        const val LIST_READ_MS = 1_000L
+
         /** Time that a worker takes to stop a run, in ms. */
         const val STOP_MS = 50L
 
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/WorkerLeaseTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/WorkerLeaseTest.kt
@@ -218,6 +218,7 @@
                 val first = cell.placed(order(), now = 50_000)
                 cell.onReport(checkNotNull(cell.planPoll("w", 50_010)), report(5, startedAtMs = 50_000), 50_015)
                 cell.onStart(first, StartOutcome.Started(50_000), 50_020)
+                cell.updateWorkers(listOf(worker("w", startedAtMs = 50_000)))
                 cell.placed(order("b"), now = 50_021).leaseUntilMs shouldBeLessThanOrEqual 11 + RULES.leaseMs
             }
 
