Start no runs in data centres that the operator evacuates

EvacuationTable reads the rows in the watch that reads the configuration and marks the workers as draining. Heartbeats carry the set only once an evacuation has been known. After a start no worker is used before the table has been read or a peer with a configuration has been heard.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -177,8 +177,8 @@
     fun hasAddressOf(other: WorkerEntry): Boolean = entry.host == other.host && entry.port == other.port
 
     /**
-     * False while the run list shows a later start than the entry. The entry has then the labels and the capacity of an earlier incarnation,
-     * and the present one may be of another kind. A start time of 0 is unknown.
+     * False while the run list shows a later start than the entry. The entry has then the labels and the capacity of an earlier
+     * incarnation, and the present one may be of another kind. A start time of 0 is unknown.
      */
     fun hasCurrentEntry(): Boolean = entry.startedAtMs == 0L || startedAtMs <= entry.startedAtMs
 
--- a/src/main/kotlin/dandelionpoint/fleet/FleetPorts.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetPorts.kt
@@ -16,8 +16,17 @@
     fun configuration(bytes: ByteArray): FleetConfiguration?
 }
 
-/** Tables of the shared store that this VM only reads: the [workers]' entries and the [operator]'s table, with the configuration's key. */
-internal data class SharedTables(val workers: String, val operator: String, val configurationKey: String)
+/**
+ * Tables of the shared store that this VM only reads: the [workers]' entries and the [operator]'s table, with the configuration's key. A
+ * row of the operator's table whose key is [evacuationKeyPrefix] and the name of a data centre evacuates that data centre; without a prefix
+ * there are no such rows.
+ */
+internal data class SharedTables(
+    val workers: String,
+    val operator: String,
+    val configurationKey: String,
+    val evacuationKeyPrefix: String? = null,
+)
 
 /** Access to the external systems of a VM. [canConnect] returns true if a worker accepts connections from this VM. */
 internal class FleetPorts(
--- a/src/main/kotlin/dandelionpoint/fleet/FleetTables.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetTables.kt
@@ -1,4 +1,7 @@
-/* Follows the tables of the shared store that an entry VM needs: the operator's configuration, the workers, and the other entry VMs. */
+/*
+ * Follows the tables of the shared store that an entry VM needs: the operator's configuration and evacuations, the workers, and the other
+ * entry VMs.
+ */
 package dandelionpoint.fleet
 
 import dandelionpoint.coordination.fleet.FleetRules
@@ -8,6 +11,7 @@
 import dandelionpoint.protocol.fleet.SharedRow
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.protocol.millis
+import dandelionpoint.protocol.peer.EvacuatedDataCentres
 import dandelionpoint.protocol.peer.VmIdentity
 import dandelionpoint.transport.peer.PeerAddress
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -24,9 +28,12 @@
     /** A configuration with a higher version is in force. */
     fun configured()
 
-    /** The list of workers may have changed. */
+    /** The list of workers, or which of them may be used, may have changed. */
     fun workersChanged()
 
+    /** Other data centres are evacuated than before, or it is known for the first time which ones are. */
+    fun evacuationChanged()
+
     /** Another entry VM has its peer port at [address]. */
     fun vmFound(address: PeerAddress)
 }
@@ -34,6 +41,7 @@
 /** The contents of the tables as this VM last read them. */
 internal class FleetTables(private val ports: FleetPorts, private val events: TableEvents, private val clock: Clock, rules: FleetRules) {
     private val workerList = WorkerList(rules)
+    private val evacuation = EvacuationTable(ports.tables.evacuationKeyPrefix) { workerList.current(clock.millis()) }
 
     /** The configuration in force; null before the first one was read. */
     @Volatile
@@ -42,13 +50,21 @@
 
     val configurationVersion: Long get() = configuration?.version ?: -1
 
-    /** Workers that may be used now. */
-    fun workers(): List<WorkerEntry> = workerList.current(clock.millis())
+    /** Workers that may be used now. Those of evacuated data centres are draining. */
+    fun workers(): List<WorkerEntry> = evacuation.withDraining(workerList.current(clock.millis()))
+
+    /** What the heartbeats have to say of evacuations, null while none has been known. */
+    fun evacuated(): EvacuatedDataCentres? = evacuation.announced()
+
+    /** The peer [from], which has read the operator's table or heard of its contents, knows of the evacuations [peers]. */
+    fun onPeerEvacuations(peers: EvacuatedDataCentres?, from: VmIdentity) {
+        if (evacuation.onPeer(peers, from.name)) events.evacuationChanged()
+    }
 
     /** Starts to follow the tables, and writes the row of [self], repeating the write until it succeeds. */
     fun start(scope: CoroutineScope, self: VmIdentity) {
         val watches = listOf(
-            StoreWatch(ports.store, ports.tables.operator, ConfigurationListener(), WATCH_MS),
+            StoreWatch(ports.store, ports.tables.operator, OperatorListener(), WATCH_MS),
             StoreWatch(ports.store, ports.tables.workers, WorkerListener(), waitMs = 0, pauseMs = WATCH_MS),
             StoreWatch(ports.store, VMS, VmListener(), waitMs = VM_WATCH_MS),
         )
@@ -73,10 +89,18 @@
         events.configured()
     }
 
-    private inner class ConfigurationListener : TableListener {
-        override fun replaced(rows: List<SharedRow>) = changed(rows)
+    private inner class OperatorListener : TableListener {
+        override fun replaced(rows: List<SharedRow>, version: Long) {
+            if (evacuation.onTableRead(rows, version)) events.evacuationChanged()
+            applyConfigurationIn(rows)
+        }
 
         override fun changed(rows: List<SharedRow>) {
+            if (evacuation.onRowsChanged(rows)) events.evacuationChanged()
+            applyConfigurationIn(rows)
+        }
+
+        private fun applyConfigurationIn(rows: List<SharedRow>) {
             rows.lastOrNull { it.key == ports.tables.configurationKey }?.value?.let { applyConfiguration(it, source = "store") }
         }
     }
@@ -93,7 +117,7 @@
             events.workersChanged()
         }
 
-        override fun replaced(rows: List<SharedRow>) {
+        override fun replaced(rows: List<SharedRow>, version: Long) {
             documents.clear()
             workerList.replaceAll(rows.mapNotNull { read(it) }, clock.millis())
         }
@@ -125,7 +149,7 @@
     }
 
     private inner class VmListener : TableListener {
-        override fun replaced(rows: List<SharedRow>) = changed(rows)
+        override fun replaced(rows: List<SharedRow>, version: Long) = changed(rows)
 
         override fun changed(rows: List<SharedRow>) = rows.forEach { row ->
             row.value?.let { decode(row.key, it) }?.let { events.vmFound(PeerAddress(it.host, it.port)) }
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -28,6 +28,7 @@
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.millis
 import dandelionpoint.protocol.peer.CellHandover
+import dandelionpoint.protocol.peer.EvacuatedDataCentres
 import dandelionpoint.protocol.peer.FleetHeartbeat
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.PeerReply
@@ -244,6 +245,12 @@
 
         override fun workersChanged() = cells.updateWorkers()
 
+        override fun evacuationChanged() {
+            cells.updateWorkers()
+            heartbeats.announceChange()
+            runner.onCapacity()
+        }
+
         override fun vmFound(address: PeerAddress) = network.connect(address)
     }
 
@@ -325,6 +332,8 @@
 
         override val configurationVersion: Long get() = tables.configurationVersion
 
+        override val evacuated: EvacuatedDataCentres? get() = tables.evacuated()
+
         override fun onHeartbeat() {
             lookAtClients(TICK_MS)
         }
@@ -334,6 +343,8 @@
 
     private fun onHeartbeat(from: VmIdentity, heartbeat: FleetHeartbeat, sentAt: Long) {
         applyCancellations(from, heartbeat)
+        // A peer without a configuration has not read the operator's table yet.
+        if (heartbeat.configVersion >= 0) tables.onPeerEvacuations(heartbeat.evacuated, from)
         claims.ownerHeard(from)
         peers.onHeartbeat(from, heartbeat, clock.millis(), sentAt)
         runner.onCapacity()
--- a/src/main/kotlin/dandelionpoint/fleet/HeartbeatContents.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/HeartbeatContents.kt
@@ -4,6 +4,7 @@
 import dandelionpoint.coordination.fleet.Cells
 import dandelionpoint.coordination.fleet.Dispatch
 import dandelionpoint.coordination.fleet.PeerLiveness
+import dandelionpoint.protocol.peer.EvacuatedDataCentres
 import dandelionpoint.protocol.peer.FleetHeartbeat
 import dandelionpoint.protocol.peer.VmIdentity
 
@@ -13,6 +14,9 @@
 
     val configurationVersion: Long
 
+    /** The evacuations to announce, null while none has been known. */
+    val evacuated: EvacuatedDataCentres?
+
     /** A heartbeat is about to say that this VM is there and wants the work of its clients: ends the jobs of those that have left. */
     fun onHeartbeat()
 
@@ -54,6 +58,7 @@
             relayed = if (isSameDataCentre) emptyMap() else entryVmAges(),
             cancelledJobs = work.forwarder.unconfirmedCancellations(),
             cancelledRuns = work.runner.unconfirmedStops(),
+            evacuated = host.evacuated,
         )
     }
 
--- a/src/main/kotlin/dandelionpoint/fleet/StoreWatch.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/StoreWatch.kt
@@ -17,8 +17,8 @@
 
 /** Receives the rows of a table. */
 internal interface TableListener {
-    /** [rows] is the whole table. */
-    fun replaced(rows: List<SharedRow>)
+    /** [rows] is the whole table at the store's [version]. */
+    fun replaced(rows: List<SharedRow>, version: Long)
 
     /** [rows] were written or deleted since the last call. */
     fun changed(rows: List<SharedRow>)
@@ -66,7 +66,7 @@
         is Either.Left -> false
 
         is Either.Right -> {
-            attempt("apply_table") { listener.replaced(read.value.rows) }
+            attempt("apply_table") { listener.replaced(read.value.rows, read.value.version) }
             version = read.value.version
             true
         }
--- a/src/main/kotlin/dandelionpoint/platform/PlatformPorts.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformPorts.kt
@@ -29,7 +29,7 @@
     val threads = CallThreads(MAX_CALLS)
     return FleetPorts(
         store = PlatformRows(storeAddress, threads),
-        tables = SharedTables(workers = "servers", operator = "op", configurationKey = "config"),
+        tables = SharedTables(workers = "servers", operator = "op", configurationKey = "config", evacuationKeyPrefix = "evacuate/"),
         documents = PlatformDocuments,
         workers = PlatformWorkers(threads),
         canConnect = ::canConnect,
--- a/src/main/kotlin/dandelionpoint/platform/PlatformRows.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformRows.kt
@@ -141,7 +141,7 @@
     }
 
     private fun decodeRows(body: JsonObject): List<SharedRow> = body.array("rows").mapNotNull { element ->
-        val row = element as? JsonObject ?: return@mapNotNull null
+        val row = (element as? JsonObject)?.takeIf { it.text("part").isNullOrEmpty() } ?: return@mapNotNull null
         val key = row.text("key") ?: return@mapNotNull null
         val value = if (row.flag("deleted")) null else row.text("value")?.let { decodeBase64(it) } ?: ByteArray(0)
         SharedRow(row.text("table").orEmpty(), key, value, row.long("ver") ?: 0L)
--- a/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
@@ -14,6 +14,10 @@
 @Serializable
 data class FreeCapacity(@SerialName("f") val free: Demand, @SerialName("s") val speed: Float)
 
+/** The data centres with [names], and no others, are evacuated at the shared store's [version]. */
+@Serializable
+data class EvacuatedDataCentres(@SerialName("v") val version: Long, @SerialName("n") val names: Set<String>)
+
 /** A message between VMs that dispatch to leased workers. */
 @Serializable
 sealed interface FleetMessage : PeerMessage
@@ -24,7 +28,7 @@
  * of all usable ones, both by pool. [waitingJobs] is the number of jobs without a started task, by queue. [relayed] says how long
  * before this heartbeat each VM whose clients wait for remote runs of the sender was certainly alive, in ms, by the incarnation.
  * [cancelledJobs] and [cancelledRuns] are the cancellations of the sender that no receiver has confirmed yet: since a heartbeat extends the
- * leases of the sender's runs, it must not overtake them.
+ * leases of the sender's runs, it must not overtake them. [evacuated] is null as long as the sender has known of no evacuation.
  */
 @Serializable
 @SerialName("beat")
@@ -38,6 +42,7 @@
     @SerialName("l") val relayed: Map<String, Long> = emptyMap(),
     @SerialName("c") val cancelledJobs: List<JobCancel> = emptyList(),
     @SerialName("x") val cancelledRuns: List<RunCancel> = emptyList(),
+    @SerialName("e") val evacuated: EvacuatedDataCentres? = null,
 ) : FleetMessage
 
 /**
--- a/src/main/kotlin/dandelionpoint/standin/fleet/InProcessFleet.kt
+++ b/src/main/kotlin/dandelionpoint/standin/fleet/InProcessFleet.kt
@@ -10,6 +10,7 @@
 import dandelionpoint.protocol.fleet.FleetConfiguration
 import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.QueueRoute
+import dandelionpoint.protocol.fleet.SharedRows
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.settings.FleetSettings
 import dandelionpoint.settings.HostAndPort
@@ -47,7 +48,12 @@
         }
     }
 
-    private val tables = SharedTables(workers = "workers", operator = "operator", configurationKey = "configuration")
+    private val tables = SharedTables(
+        workers = "workers",
+        operator = "operator",
+        configurationKey = "configuration",
+        evacuationKeyPrefix = "evacuation/",
+    )
 
     init {
         entries.values.forEach { entry ->
@@ -57,8 +63,8 @@
         store.put(tables.operator, tables.configurationKey, "1".encodeToByteArray())
     }
 
-    /** Creates an entry VM in [dataCentre] without starting it. [clock] is that of the VM alone. */
-    fun vm(name: String, dataCentre: String, clock: Clock = Clock.System): FleetVm {
+    /** Creates an entry VM in [dataCentre] without starting it. [clock] and [store] are those of the VM alone. */
+    fun vm(name: String, dataCentre: String, clock: Clock = Clock.System, store: SharedRows = this.store): FleetVm {
         val settings = FleetSettings(
             name = name,
             region = "trial",
@@ -69,16 +75,29 @@
             seedPeers = emptyList(),
             store = HostAndPort(LOOPBACK, 1),
         )
-        return vm(settings, clock)
+        return vm(settings, clock, store = store)
     }
 
-    /** Creates an entry VM with [settings], whose loops run in [context], without starting it. [clock] is that of the VM alone. */
-    fun vm(settings: FleetSettings, clock: Clock = Clock.System, context: CoroutineContext = Dispatchers.Default): FleetVm =
-        FleetVm(settings, FleetPorts(store, tables, documents, workers, canConnect), clock, context = context)
+    /**
+     * Creates an entry VM with [settings], whose loops run in [context], without starting it. [clock] and [store] are those of the VM
+     * alone.
+     */
+    fun vm(
+        settings: FleetSettings,
+        clock: Clock = Clock.System,
+        context: CoroutineContext = Dispatchers.Default,
+        store: SharedRows = this.store,
+    ): FleetVm = FleetVm(settings, FleetPorts(store, tables, documents, workers, canConnect), clock, context = context)
 
     /** Writes a row that marks the worker [id] as draining. */
     fun drainWorker(id: String) = store.put(tables.workers, id, DRAINING.encodeToByteArray())
 
+    /** Writes the row that evacuates [dataCentre]. */
+    fun evacuate(dataCentre: String) = store.put(tables.operator, tables.evacuationKeyPrefix + dataCentre, "{}".encodeToByteArray())
+
+    /** Deletes the row that evacuates [dataCentre]. */
+    fun endEvacuation(dataCentre: String) = store.delete(tables.operator, tables.evacuationKeyPrefix + dataCentre)
+
     companion object {
         const val LOOPBACK = "127.0.0.1"
         const val HOST = "trial.example"
--- a/src/main/kotlin/dandelionpoint/standin/fleet/MemoryRows.kt
+++ b/src/main/kotlin/dandelionpoint/standin/fleet/MemoryRows.kt
@@ -41,6 +41,11 @@
         synchronized(lock) { store(table, key, value) }
     }
 
+    /** Deletes a row without faults or version check. */
+    fun delete(table: String, key: String) {
+        synchronized(lock) { store(table, key, value = null) }
+    }
+
     fun value(table: String, key: String): ByteArray? = synchronized(lock) { rows[table to key]?.value }
 
     private fun store(table: String, key: String, value: ByteArray?): Long {
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/WorkerIncarnationTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/WorkerIncarnationTest.kt
@@ -1,6 +1,6 @@
 /*
- * Guards against a run that is started by the labels or the capacity of an earlier incarnation of its worker. A worker may restart under its
- * id as one of another kind; its owner learns of it from the run list and from the list of workers, in either order and each with a delay.
+ * Guards against a run that is started by the labels or the capacity of an earlier incarnation of its worker. A worker may restart under
+ * its id as one of another kind; its owner learns of it from the run list and from the list of workers, in either order and with delays.
  */
 package dandelionpoint.coordination.fleet
 
--- a/src/test/kotlin/dandelionpoint/fleet/FleetTablesTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/FleetTablesTest.kt
@@ -1,6 +1,7 @@
 package dandelionpoint.fleet
 
 import arrow.core.Either
+import arrow.core.left
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.platform.VALID_WORKER
 import dandelionpoint.platform.decodeConfiguration
@@ -13,6 +14,7 @@
 import dandelionpoint.protocol.fleet.RowsRead
 import dandelionpoint.protocol.fleet.SharedRows
 import dandelionpoint.protocol.fleet.WorkerEntry
+import dandelionpoint.protocol.peer.EvacuatedDataCentres
 import dandelionpoint.protocol.peer.VmIdentity
 import dandelionpoint.protocol.store.StoreError
 import dandelionpoint.standin.fleet.MemoryRows
@@ -33,6 +35,9 @@
 private const val WORKERS = "workers"
 private const val OPERATOR = "operator"
 private const val KEY = "configuration"
+private const val EVACUATION_PREFIX = "evacuation/"
+
+private val PEER = VmIdentity("vm-2", "incarnation-2", "north", "akl-a", "127.0.0.1", 2)
 
 /** Reads documents that consist of the configuration's version in digits. */
 private object NumberDocuments : DocumentReader {
@@ -57,6 +62,8 @@
 
     override fun workersChanged() = onWorkersChanged()
 
+    override fun evacuationChanged() = Unit
+
     override fun vmFound(address: PeerAddress) = Unit
 }
 
@@ -69,13 +76,24 @@
     val store = MemoryRows()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val ports =
-        FleetPorts(rows(store), SharedTables(WORKERS, OPERATOR, KEY), documents, MemoryWorkers(), canConnect = { true })
+        FleetPorts(rows(store), SharedTables(WORKERS, OPERATOR, KEY, EVACUATION_PREFIX), documents, MemoryWorkers(), canConnect = { true })
     val tables = FleetTables(ports, events, Clock.System, FleetRules())
 
     fun workerWrites(id: String, document: String = VALID_WORKER) = store.put(WORKERS, id, document.encodeToByteArray())
 
     suspend fun awaitWorkers(vararg ids: String) = eventually(5.seconds) { tables.workers().map { it.id }.toSet() shouldBe ids.toSet() }
 
+    suspend fun awaitDraining(vararg ids: String) =
+        eventually(5.seconds) { tables.workers().filter { it.isDraining }.map { it.id }.toSet() shouldBe ids.toSet() }
+
+    fun evacuate(dataCentre: String, value: ByteArray = "{}".encodeToByteArray()) =
+        store.put(OPERATOR, EVACUATION_PREFIX + dataCentre, value)
+
+    fun endEvacuation(dataCentre: String) = store.delete(OPERATOR, EVACUATION_PREFIX + dataCentre)
+
+    fun peerKnows(version: Long, vararg dataCentres: String) =
+        tables.onPeerEvacuations(EvacuatedDataCentres(version, dataCentres.toSet()), from = PEER)
+
     fun operatorWrites(document: String) = store.put(OPERATOR, KEY, document.encodeToByteArray())
 
     fun peerOffers(document: String) = tables.applyConfiguration(document.encodeToByteArray(), source = "peer")
@@ -136,6 +154,84 @@
             }
         }
 
+        describe("the evacuations") {
+            it("make the workers of their data centre draining while their row exists, also if it reappears") {
+                TablesFixture(PlatformDocuments).use { fixture ->
+                    fixture.workerWrites("here")
+                    fixture.workerWrites("there", VALID_WORKER.replace("akl-a", "ham-a"))
+                    fixture.follow()
+                    fixture.awaitWorkers("here", "there")
+                    fixture.awaitDraining()
+                    repeat(2) {
+                        fixture.evacuate("ham-a")
+                        fixture.awaitDraining("there")
+                        fixture.endEvacuation("ham-a")
+                        fixture.awaitDraining()
+                    }
+                }
+            }
+
+            it("end if a full read after the loss of the history does not show their row") {
+                TablesFixture(PlatformDocuments).use { fixture ->
+                    fixture.workerWrites("w")
+                    fixture.evacuate("akl-a")
+                    fixture.follow()
+                    fixture.awaitWorkers("w")
+                    fixture.awaitDraining("w")
+                    fixture.store.isDown = true
+                    fixture.store.discardHistory()
+                    fixture.endEvacuation("akl-a")
+                    fixture.store.isDown = false
+                    fixture.awaitDraining()
+                }
+            }
+
+            it("stay in force while the store is away, unless a peer knows a later state") {
+                TablesFixture(PlatformDocuments).use { fixture ->
+                    fixture.workerWrites("w")
+                    fixture.evacuate("akl-a")
+                    fixture.follow()
+                    fixture.awaitWorkers("w")
+                    fixture.awaitDraining("w")
+                    fixture.store.isDown = true
+                    fixture.peerKnows(1)
+                    continually(300.milliseconds) { fixture.tables.workers().single().isDraining shouldBe true }
+                    fixture.peerKnows(100)
+                    fixture.awaitDraining()
+                    fixture.peerKnows(101, "akl-a")
+                    fixture.awaitDraining("w")
+                }
+            }
+
+            // Guards against one row that ends the coroutine which follows the configuration.
+            it("are followed, like the configuration, beside rows that name no or an unknown data centre or have an odd value") {
+                TablesFixture(PlatformDocuments).use { fixture ->
+                    fixture.workerWrites("w")
+                    listOf("", " ", "\u0000", "x".repeat(10_000), "unknown", "akl-a/", "AKL-A").forEach { fixture.evacuate(it) }
+                    fixture.follow()
+                    fixture.awaitWorkers("w")
+                    fixture.awaitDraining()
+                    listOf(byteArrayOf(), byteArrayOf(-1, -2), nestedArrays(30_000).encodeToByteArray()).forEach { value ->
+                        fixture.evacuate("akl-a", value)
+                        fixture.awaitDraining("w")
+                        fixture.endEvacuation("akl-a")
+                        fixture.awaitDraining()
+                    }
+                }
+            }
+
+            it("are read, or heard of from a peer, before any worker is used") {
+                TablesFixture(PlatformDocuments, rows = { WithoutOperatorTable(it) }).use { fixture ->
+                    fixture.workerWrites("w")
+                    fixture.follow()
+                    fixture.awaitWorkers("w")
+                    fixture.awaitDraining("w")
+                    fixture.tables.onPeerEvacuations(peers = null, from = PEER)
+                    fixture.awaitDraining()
+                }
+            }
+        }
+
         describe("the list of workers") {
             // Guards against one entry that ends the coroutine which follows the list, so that it no longer changes.
             ODD_ENTRIES.forEach { (kind, document) ->
@@ -214,6 +310,12 @@
     "empty" to "",
 )
 
+/** Does not answer calls for the operator's table. */
+private class WithoutOperatorTable(private val rows: SharedRows) : SharedRows by rows {
+    override suspend fun read(table: String, from: String, to: String): Either<StoreError, RowsRead> =
+        if (table == OPERATOR) StoreError.NotApplied("injected fault").left() else rows.read(table, from, to)
+}
+
 /** Fails every second call with an exception. */
 private class FailingRows(private val rows: SharedRows) : SharedRows by rows {
     private val calls = AtomicInteger()
--- a/src/test/kotlin/dandelionpoint/fleet/FleetVmTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/FleetVmTest.kt
@@ -1,10 +1,16 @@
 package dandelionpoint.fleet
 
+import arrow.core.Either
+import arrow.core.left
 import dandelionpoint.coordination.fleet.Cells
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.fleet.FleetJob
 import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.fleet.JobStep
+import dandelionpoint.protocol.fleet.RowChanges
+import dandelionpoint.protocol.fleet.RowWrite
+import dandelionpoint.protocol.fleet.SharedRows
+import dandelionpoint.protocol.store.StoreError
 import dandelionpoint.standin.fleet.InProcessFleet
 import dandelionpoint.standin.fleet.MemoryWorkers
 import dandelionpoint.standin.fleet.StartRecord
@@ -16,6 +22,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
@@ -27,6 +34,9 @@
 /** Three heartbeat intervals: by then a VM knows the free capacity of a cell that another VM has just claimed. */
 private const val CAPACITY_KNOWN_MS = 450L
 
+/** By then all VMs know of a row that was written or deleted, in ms; the bound is 5,000 ms. */
+private const val EVACUATION_MS = 1_500L
+
 private val ALL_CELLS = (Cells.of("akl-a") + Cells.of("ham-a")).toSet()
 
 private fun jobOf(number: Int, tasks: Int = 2, estimateMs: Long = 60) =
@@ -39,9 +49,37 @@
         ordered.zipWithNext().filter { (first, second) -> (first.endedAt ?: Long.MAX_VALUE) > second.startedAt }
     }
 
+/** The starts on workers of [dataCentre]. */
+private fun InProcessFleet.startsIn(dataCentre: String) = workers.starts().filter { it.workerId.startsWith("$dataCentre-") }
+
+/** Refuses all calls while it [isDown]; otherwise passes them to [rows]. */
+private class SwitchableRows(private val rows: SharedRows) : SharedRows {
+    @Volatile
+    var isDown = false
+
+    private suspend fun <T> unlessDown(call: suspend () -> Either<StoreError, T>): Either<StoreError, T> =
+        if (isDown) StoreError.NotApplied("the store is down").left() else call()
+
+    override suspend fun read(table: String, from: String, to: String) = unlessDown { rows.read(table, from, to) }
+
+    override suspend fun changes(table: String, version: Long, waitMs: Long): Either<StoreError, RowChanges> {
+        val changes = unlessDown { rows.changes(table, version, waitMs) }
+        return unlessDown { changes }
+    }
+
+    override suspend fun write(table: String, key: String, value: ByteArray?, expected: Long?) =
+        unlessDown { rows.write(table, key, value, expected) }
+
+    override suspend fun writeAll(table: String, writes: List<RowWrite>) = unlessDown { rows.writeAll(table, writes) }
+}
+
 /** Starts VMs, each given by name and data centre, and waits until they own both cells. */
-private suspend fun InProcessFleet.startVms(vararg names: Pair<String, String>): List<FleetVm> {
-    val vms = names.map { (name, dataCentre) -> vm(name, dataCentre) }
+private suspend fun InProcessFleet.startVms(vararg names: Pair<String, String>): List<FleetVm> =
+    startAll(*names.map { (name, dataCentre) -> vm(name, dataCentre) }.toTypedArray())
+
+/** Starts [started] and waits until they own both cells. */
+private suspend fun startAll(vararg started: FleetVm): List<FleetVm> {
+    val vms = started.toList()
     vms.forEach { it.start() }
     eventually(15.seconds) { (vms.all { it.isReady } && vms.flatMap { it.ownedCells() }.toSet() == ALL_CELLS).shouldBeTrue() }
     return vms
@@ -123,6 +161,65 @@
             }
         }
 
+        describe("an evacuated data centre") {
+            it("gets no more starts, its clients' jobs run elsewhere, and it is used again afterwards") {
+                val fleet = InProcessFleet()
+                val vms = fleet.startVms("a" to "akl-a", "b" to "ham-a")
+                repeat(2) { round ->
+                    fleet.evacuate("akl-a")
+                    delay(EVACUATION_MS)
+                    val before = fleet.startsIn("akl-a").size
+                    vms[0].runAll(fleet, List(3) { jobOf(10 * round + it, tasks = 1) }).toSet() shouldBe setOf(JobOutcome.Completed)
+                    vms[1].runAll(fleet, List(3) { jobOf(100 + 10 * round + it, tasks = 1) }).toSet() shouldBe setOf(JobOutcome.Completed)
+                    fleet.startsIn("akl-a") shouldHaveSize before
+                    vms[0].isReady.shouldBeTrue()
+                    fleet.endEvacuation("akl-a")
+                    delay(EVACUATION_MS)
+                    vms[0].runAll(fleet, List(2) { jobOf(1_000 + 10 * round + it) }).toSet() shouldBe setOf(JobOutcome.Completed)
+                    fleet.startsIn("akl-a") shouldHaveSize before + 4
+                }
+                vms.forEach { it.close() }
+            }
+
+            it("finishes the runs that are in progress there") {
+                val fleet = InProcessFleet(workers = MemoryWorkers(runMs = { 1_500 }))
+                val vms = fleet.startVms("a" to "akl-a", "b" to "ham-a")
+                coroutineScope {
+                    val queue = fleet.queue.copy(latencyTargetMs = 4_000)
+                    val open = async { vms[0].run(jobOf(1, estimateMs = 1_500), queue, DEADLINE_MS) }
+                    eventually(2.seconds) { fleet.workers.starts() shouldHaveSize 2 }
+                    fleet.evacuate("akl-a")
+                    open.await() shouldBe JobOutcome.Completed
+                }
+                fleet.workers.starts() shouldHaveSize 2
+                fleet.startsIn("akl-a") shouldHaveSize 2
+                vms.forEach { it.close() }
+            }
+
+            it("starts nothing of a job that no other data centre can run, and answers that it was not run") {
+                val fleet = InProcessFleet()
+                val vms = fleet.startVms("a" to "akl-a", "b" to "ham-a")
+                fleet.evacuate("akl-a")
+                fleet.evacuate("ham-a")
+                delay(EVACUATION_MS)
+                vms[1].run(jobOf(1, tasks = 1), fleet.queue, DEADLINE_MS).shouldBeInstanceOf<JobOutcome.NotRun>()
+                fleet.workers.starts().shouldBeEmpty()
+                vms.forEach { it.close() }
+            }
+
+            it("gets no starts by a VM that has lost the store before and hears of the evacuation from a peer") {
+                val fleet = InProcessFleet()
+                val own = SwitchableRows(fleet.store)
+                val vms = startAll(fleet.vm("a", "akl-a", store = own), fleet.vm("b", "ham-a"))
+                own.isDown = true
+                fleet.evacuate("akl-a")
+                delay(EVACUATION_MS)
+                vms[0].runAll(fleet, List(3) { jobOf(it, tasks = 1) }).toSet() shouldBe setOf(JobOutcome.Completed)
+                fleet.startsIn("akl-a").shouldBeEmpty()
+                vms.forEach { it.close() }
+            }
+        }
+
         describe("the shared store") {
             it("may be unavailable while jobs run under the current claims and configuration") {
                 val fleet = InProcessFleet()
--- a/src/test/kotlin/dandelionpoint/fleet/RemoteRunServerTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/RemoteRunServerTest.kt
@@ -6,6 +6,7 @@
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.fleet.RunEnd
+import dandelionpoint.protocol.fleet.SharedRow
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
@@ -53,6 +54,8 @@
     private val controller = CellController(scope, Cell("akl-a", token = 1), workers, this).apply { updateWorkers(entries) }
     private val server = RemoteRunServer({ controller.place(it) }, { key -> controller.stopRuns { it.key == key } })
 
+    fun updateWorkers(entries: List<WorkerEntry>) = controller.updateWorkers(entries)
+
     override fun ended(order: RunOrder, end: RunEnd, workerId: String) = server.ended(order.key, end)
 
     override fun fenced(cell: String) = Unit
@@ -105,6 +108,22 @@
  */
 internal class RemoteRunServerTest :
     DescribeSpec({
+        describe("a remote run in an evacuated data centre") {
+            it("is refused, while those that are in progress there end as usual") {
+                val entries = listOf(worker("w", "rack-1"))
+                val owner = CellOwner(entries).apply { awaitCapacity() }
+                val inProgress = owner.run(request(index = 0))
+                eventually(2.seconds) { owner.workers.starts() shouldHaveSize 1 }
+                val evacuation = EvacuationTable("evacuation/") { entries }
+                evacuation.onTableRead(listOf(SharedRow("operator", "evacuation/akl-a", byteArrayOf(), version = 1)), version = 1)
+                owner.updateWorkers(evacuation.withDraining(entries))
+                owner.run(request(index = 1)).await() shouldBe RunAnswer(RunEnd.NOT_STARTED)
+                inProgress.await() shouldBe RunAnswer(RunEnd.DONE)
+                owner.workers.starts() shouldHaveSize 1
+                owner.close()
+            }
+        }
+
         describe("a remote run") {
             it("counts towards the limit of tasks of a step on one worker, like a run of the cell owner") {
                 val owner = CellOwner(listOf(worker("w", "rack-1"))).apply { awaitCapacity() }
