--- a/src/main/kotlin/dandelionpoint/fleet/HeartbeatContents.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/HeartbeatContents.kt
@@ -5,6 +5,7 @@
 import dandelionpoint.coordination.fleet.Dispatch
 import dandelionpoint.coordination.fleet.PeerLiveness
 import dandelionpoint.coordination.fleet.WaitingRuns
+import dandelionpoint.protocol.peer.EvacuatedDataCentres
 import dandelionpoint.protocol.peer.FleetHeartbeat
 import dandelionpoint.protocol.peer.VmIdentity
 
@@ -14,6 +15,9 @@
 
     val configurationVersion: Long
 
+    /** The evacuations to announce, null while none has been known. */
+    val evacuated: EvacuatedDataCentres?
+
     /** A heartbeat is about to say that this VM is there and wants the work of its clients: ends the jobs of those that have left. */
     fun onHeartbeat()
 
@@ -56,6 +60,7 @@
             relayed = if (isSameDataCentre) emptyMap() else entryVmAges(),
             cancelledJobs = work.forwarder.unconfirmedCancellations(),
             cancelledRuns = work.runner.unconfirmedStops(),
+            evacuated = host.evacuated,
         )
     }
 
