Ask one peer at a time for a newer configuration, and decode a document once

Each heartbeat of a peer with a newer configuration made a VM ask for it, and each answer, like each loss of the store's history, made it decode the whole document again; a VM of a quarter of a core takes long for 1,200 routes, while all its peers announce them.

--- a/src/main/kotlin/dandelionpoint/fleet/FleetTables.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetTables.kt
@@ -48,6 +48,10 @@
     var configuration: FleetConfiguration? = null
         private set
 
+    /** The document that was decoded last. */
+    @Volatile
+    private var lastDocument: ByteArray? = null
+
     val configurationVersion: Long get() = configuration?.version ?: -1
 
     /** Workers that may be used now. Those of evacuated data centres are draining. */
@@ -75,10 +79,19 @@
         }
     }
 
-    /** Puts the configuration in [document], received from [source], in force unless its version is not higher than the current one's. */
+    /**
+     * Puts the configuration in [document], received from [source], in force unless its version is not higher than the current one's. A
+     * document that was read before, as after the store has dropped its history, is not decoded again.
+     */
     fun applyConfiguration(document: ByteArray, source: String) {
+        if (document.contentEquals(lastDocument)) return
         val read = runCatching { ports.documents.configuration(document) }.getOrNull()
-        if (read == null) log.warn { "event=configuration_unreadable source=$source" } else apply(read, source)
+        if (read == null) {
+            log.warn { "event=configuration_unreadable source=$source" }
+        } else {
+            lastDocument = document
+            apply(read, source)
+        }
     }
 
     @Synchronized
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -33,7 +33,6 @@
 import dandelionpoint.protocol.peer.EvacuatedDataCentres
 import dandelionpoint.protocol.peer.FleetHeartbeat
 import dandelionpoint.protocol.peer.PeerMessage
-import dandelionpoint.protocol.peer.PeerReply
 import dandelionpoint.protocol.peer.VmIdentity
 import dandelionpoint.settings.FleetSettings
 import dandelionpoint.transport.peer.PeerAddress
@@ -83,6 +82,7 @@
     private val peers = PeerState(::unresponsiveMs, RemoteCapacity(settings.dataCentre, random, rules.remotePenalty))
     private val demand = PeerDemand(incarnation, peers.liveness, uptime)
     private val tables = FleetTables(ports, Tables(), clock, rules)
+    private val peerConfiguration = PeerConfiguration(scope, network, { tables.configurationVersion }, tables::applyConfiguration)
     private val cells = OwnedCells(scope, ports.workers, Runs(), { tables.workers() }, clock, rules, demand)
     private val waitingRuns = WaitingRuns()
     private val dispatch = Dispatch(incarnation, waitingRuns = waitingRuns)
@@ -373,7 +373,7 @@
         claims.ownerHeard(from)
         peers.onHeartbeat(from, heartbeat, clock.millis(), sentAt)
         runner.onCapacity()
-        if (heartbeat.configVersion > tables.configurationVersion) scope.launch { pullConfiguration(from) }
+        peerConfiguration.onAnnounced(heartbeat.configVersion, from)
     }
 
     /** Applied before the heartbeat counts as a sign of life, so that it extends no lease of a run that it cancels. */
@@ -392,12 +392,6 @@
 
     private fun configurationMessage(): PeerMessage? = tables.configuration?.let { PeerMessage.ConfigChanges(it.version, it.document) }
 
-    private suspend fun pullConfiguration(from: VmIdentity) {
-        val reply = network.call(from, PeerMessage.ConfigPull(tables.configurationVersion), PULL_TIMEOUT_MS)
-        val document = ((reply as? PeerReply.Answered)?.message as? PeerMessage.ConfigChanges)?.document ?: return
-        tables.applyConfiguration(document.encodeToByteArray(), source = from.name)
-    }
-
     private suspend fun tickLoop() {
         val guard = LoopGuard("tick")
         var ticks = 0
@@ -469,8 +463,6 @@
         /** Ticks from one step of the claims to the next. */
         const val CLAIM_TICKS = 3
 
-        const val PULL_TIMEOUT_MS = 1_000L
-
         /** The load balancer stops sending new connections here within this time after the readiness check fails, in ms. */
         const val LOAD_BALANCER_DELAY_MS = 2_600L
 
--- a/src/test/kotlin/dandelionpoint/fleet/FleetTablesTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/FleetTablesTest.kt
@@ -47,6 +47,16 @@
         bytes.decodeToString().toLongOrNull()?.let { FleetConfiguration(it, emptyList()) }
 }
 
+/** Reads the same documents and counts how often. */
+private class CountingDocuments : DocumentReader by NumberDocuments {
+    val configurations = AtomicInteger()
+
+    override fun configuration(bytes: ByteArray): FleetConfiguration? {
+        configurations.incrementAndGet()
+        return NumberDocuments.configuration(bytes)
+    }
+}
+
 /** Reads the platform's documents; fails for the worker [FAILING]. */
 private object PlatformDocuments : DocumentReader {
     const val FAILING = "failing"
@@ -154,6 +164,18 @@
             }
         }
 
+        // Each loss of the store's history, and each peer that answered, made a VM decode a configuration of 1,200 routes again.
+        describe("a configuration that is read again") {
+            it("is decoded once") {
+                val documents = CountingDocuments()
+                TablesFixture(documents).use { fixture ->
+                    repeat(5) { fixture.peerOffers("3") }
+                    fixture.tables.configurationVersion shouldBe 3
+                    documents.configurations.get() shouldBe 1
+                }
+            }
+        }
+
         describe("the evacuations") {
             it("make the workers of their data centre draining while their row exists, also if it reappears") {
                 TablesFixture(PlatformDocuments).use { fixture ->
