--- a/src/main/kotlin/dandelionpoint/fleet/PeerConfiguration.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/PeerConfiguration.kt
@@ -25,7 +25,7 @@
 
     /** The peer [from] has the configuration [announced] in force. */
     fun onAnnounced(announced: Long, from: VmIdentity) {
-        if (announced <= version()) return
+        if (announced <= version() || !isAsking.compareAndSet(false, true)) return
         scope.launch {
             try {
                 delay(STORE_LEAD_MS)
