Learn speeds by label for workers without observed runs

Cause: a worker that is new to a cell's owner or has restarted counted as one of average speed until some ten of its runs had ended. A restarted worker kept the speed of its earlier incarnation, which may be another machine. A run outside its rack, which takes longer by the penalty, was counted as a sign of a slow worker, and with a penalty of 3 as stalled.

Change: LabelSpeeds keeps a smoothed speed for each label, shared by the VM's cells. The worker's own runs then correct it; a restart discards them. Observed speeds and the judgement of stalled runs take the penalty into account.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -53,6 +53,7 @@
     val token: Long,
     private val rules: FleetRules = FleetRules(),
     private val demand: RunDemand = RunDemand.Always,
+    private val labelSpeeds: LabelSpeeds = LabelSpeeds(),
 ) {
     private val lock = Any()
     private val workers = LinkedHashMap<String, TrackedWorker>()
@@ -68,7 +69,7 @@
     fun updateWorkers(entries: List<WorkerEntry>) = synchronized(lock) {
         entries.forEach { entry ->
             val worker = workers.getOrPut(entry.id) {
-                TrackedWorker(entry, rules, demand).also {
+                TrackedWorker(entry, rules, demand, labelSpeeds).also {
                     it.isReleased =
                         entry.id !in awaitingRelease
                 }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/LeasedWorkerHealth.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/LeasedWorkerHealth.kt
@@ -8,16 +8,26 @@
 import kotlin.math.max
 import kotlin.math.min
 
-/** Health and speed of one worker. Not thread-safe. Times are in ms on the VM's monotonic clock. */
-internal class LeasedWorkerHealth(private val rules: FleetRules) {
+/**
+ * Health and speed of one worker, which has the labels that [labels] returns. Not thread-safe. Times are in ms on the VM's monotonic clock.
+ */
+internal class LeasedWorkerHealth(
+    private val rules: FleetRules,
+    private val labelSpeeds: LabelSpeeds = LabelSpeeds(),
+    private val labels: () -> Set<String> = { emptySet() },
+) {
     private val failingJobs = mutableSetOf<String>()
     private var ejections = 0
     private var ejectedUntil = 0L
     private var isOnProbation = false
 
-    /** Speed relative to the run times that the jobs estimate; 1.0 for a worker that takes exactly the estimated time. */
-    var speed = 1.0
-        private set
+    private var ownSpeed: Double? = null
+
+    /**
+     * Speed relative to the run times that the jobs estimate; 1.0 for a worker that takes exactly the estimated time. Without observed runs
+     * it is that of its labels.
+     */
+    val speed: Double get() = ownSpeed ?: labelSpeeds.speedOf(labels()) ?: 1.0
 
     /** The most runs that the worker may have at once at [now]. */
     fun runLimit(now: Long): Int = when {
@@ -31,14 +41,20 @@
         failingJobs.clear()
         isOnProbation = false
         ejections = max(0, ejections - 1)
-        observeSpeed(elapsedMs, estimateMs)
+        observeSpeed(elapsedMs, estimateMs)?.let { labelSpeeds.observe(labels(), it) }
     }
 
-    /** Updates the speed from a run that takes [projectedMs] in total, where [estimateMs] was expected. */
-    fun observeSpeed(projectedMs: Long, estimateMs: Long) {
-        if (estimateMs <= 0) return
+    /** Updates the speed from a run that takes [projectedMs] in total, where [estimateMs] was expected. Returns the speed of this run. */
+    fun observeSpeed(projectedMs: Long, estimateMs: Long): Double? {
+        if (estimateMs <= 0) return null
         val observed = (estimateMs.toDouble() / max(1L, projectedMs)).coerceIn(MIN_SPEED, MAX_SPEED)
-        speed += SPEED_WEIGHT * (observed - speed)
+        ownSpeed = speed + SPEED_WEIGHT * (observed - speed)
+        return observed
+    }
+
+    /** The worker has restarted: another machine may run under its id, so that its labels say more than its earlier runs. */
+    fun forgetSpeed() {
+        ownSpeed = null
     }
 
     /** Records that a run of [jobId] failed. Returns true if the worker is ejected for it. */
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -74,8 +74,13 @@
  * One worker with its runs, lease and clock. Not thread-safe. Times are in ms on the VM's monotonic clock unless stated otherwise, and
  * dates are those of [demand].
  */
-internal class TrackedWorker(var entry: WorkerEntry, private val rules: FleetRules, private val demand: RunDemand = RunDemand.Always) {
-    val health = LeasedWorkerHealth(rules)
+internal class TrackedWorker(
+    var entry: WorkerEntry,
+    private val rules: FleetRules,
+    private val demand: RunDemand = RunDemand.Always,
+    labelSpeeds: LabelSpeeds = LabelSpeeds(),
+) {
+    val health = LeasedWorkerHealth(rules, labelSpeeds) { entry.labels }
 
     /** Runs that occupy capacity; changed only by [addRun] and [removeRun]. */
     val runs: Map<TaskRef, TrackedRun> get() = trackedRuns
@@ -221,11 +226,13 @@
     /** The workers with the label of the rack that [order] names, if any, run it without the penalty. */
     fun isInRack(order: RunOrder): Boolean = order.rack == null || order.rack in entry.labels
 
+    /** Estimated run time of [order] in ms on a worker of average speed that is in the same rack as this one. */
+    fun averageMs(order: RunOrder): Long = if (isInRack(order)) order.estimateMs else (order.estimateMs * rules.remotePenalty).toLong()
+
     /** Expected run time of [order] on this worker in ms, much longer on the worker to avoid. */
     fun expectedMs(order: RunOrder): Long {
-        val penalty = if (isInRack(order)) 1.0 else rules.remotePenalty
         val avoidMs = if (entry.id == order.avoid) AVOID_COST_MS else 0
-        return max(1L, (order.estimateMs * penalty / health.speed).toLong()) + avoidMs
+        return max(1L, (averageMs(order) / health.speed).toLong()) + avoidMs
     }
 
     /**
@@ -235,12 +242,12 @@
      */
     fun isStalled(run: TrackedRun, percent: Int, now: Long): Boolean {
         val elapsed = now - run.orderedAt
-        val usualMs = max(run.order.estimateMs, 1L)
+        val usualMs = max(averageMs(run.order), 1L)
         if (elapsed < rules.stalledGraceMs + usualMs / 2) return false
         val projected = elapsed * 100 / max(percent, 1)
         if (projected < rules.stalledFactor * usualMs + rules.stalledGraceMs) return false
         if (run.order.run.run > 1) return percent == 0 && elapsed > usualMs + NO_PROGRESS_MS
-        health.observeSpeed(projected, run.order.estimateMs)
+        health.observeSpeed(projected, usualMs)
         return projected - elapsed >= 2 * usualMs
     }
 
@@ -274,6 +281,7 @@
     /** The worker has restarted at [startedAtMs]. The new incarnation numbers its ended runs from 1. */
     fun onRestart(startedAtMs: Long) {
         forgetRunList()
+        health.forgetSpeed()
         this.startedAtMs = startedAtMs
     }
 
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerOutcomes.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerOutcomes.kt
@@ -32,7 +32,7 @@
     handledEnd = row.number
     val run = runs[row.run.task]?.takeIf { it.order.run == row.run } ?: return emptyList()
     when (row.end) {
-        RunEnd.DONE -> health.succeeded(now - run.orderedAt, run.order.estimateMs)
+        RunEnd.DONE -> health.succeeded(now - run.orderedAt, averageMs(run.order))
         RunEnd.FAILED -> health.failed(run.order.task.jobId, now)
         RunEnd.LOST, RunEnd.NOT_STARTED -> Unit
     }
--- a/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
@@ -8,6 +8,7 @@
 import dandelionpoint.coordination.fleet.Cell
 import dandelionpoint.coordination.fleet.Cells
 import dandelionpoint.coordination.fleet.FleetRules
+import dandelionpoint.coordination.fleet.LabelSpeeds
 import dandelionpoint.coordination.fleet.RunDemand
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
@@ -37,6 +38,7 @@
     private val demand: RunDemand,
 ) {
     private val controllers = ConcurrentHashMap<String, CellController>()
+    private val labelSpeeds = LabelSpeeds()
 
     /** Held while a run is placed, so that a task is not placed in two cells at once. */
     private val placementLock = Any()
@@ -109,7 +111,7 @@
 
     /** Takes ownership of [cell] under [token]. Workers that a [formerOwner] still uses are free once it releases them. */
     fun gain(cell: String, token: Long, formerOwner: VmIdentity?) {
-        val controller = CellController(scope, Cell(cell, token, rules, demand), port, listener, clock, rules)
+        val controller = CellController(scope, Cell(cell, token, rules, demand, labelSpeeds), port, listener, clock, rules)
         val ownWorkers = workers().filter { Cells.ofWorker(it) == cell }
         if (formerOwner != null) {
             formerOwners[cell] = formerOwner
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/PlacementExperiment.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/PlacementExperiment.kt
@@ -25,6 +25,16 @@
     println("%-40s %-10s unusable %.4f  %s".format(load, name, unusable, figures))
 }
 
+/** Time to the end of short tasks at half of the capacity, where a worker restarts each 50 ms, with and without labels that tell speeds. */
+private fun reportRestarts() = listOf(true, false).forEach { hasKindLabels ->
+    val shape = PoolShape(hasKindLabels = hasKindLabels, restartEveryMs = 50)
+    val kinds = listOf(TaskKind("short", 25.0, 16.0, 200))
+    val ends = (1L..SEEDS).map {
+        PlacementSimulation(it, kinds, BEST_FIT, shape = shape, errors = EstimateErrors(0.4, 0.03, 7.0)).run().meanEndMs("short")
+    }
+    println("restarts, labels tell the speed: %-5s  end %.0f".format(hasKindLabels, ends.average()))
+}
+
 private const val SEEDS = 10L
 
 internal fun main() {
@@ -36,4 +46,5 @@
             report("$load, x $factor, wrong estimates", scaled, EstimateErrors(0.4, 0.03, 7.0))
         }
     }
+    reportRestarts()
 }
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/PlacementSimulation.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/PlacementSimulation.kt
@@ -26,7 +26,17 @@
 /** Errors of the estimates: off by up to [spread] of the run time; of the tasks, [outlierShare] take [outlierFactor] times as long. */
 internal data class EstimateErrors(val spread: Double = 0.0, val outlierShare: Double = 0.0, val outlierFactor: Double = 1.0)
 
-internal data class PoolShape(val workers: Int = 16, val perRack: Int = 4, val speeds: List<Double> = listOf(0.7, 0.7, 1.7))
+/**
+ * A pool in which every third worker is 1.5 times as large. With [hasKindLabels] the workers have a label that tells their speed; one of
+ * them restarts each [restartEveryMs] (0: none does) while no run of it is in progress.
+ */
+internal data class PoolShape(
+    val workers: Int = 16,
+    val perRack: Int = 4,
+    val speeds: List<Double> = listOf(0.7, 0.7, 1.7),
+    val hasKindLabels: Boolean = true,
+    val restartEveryMs: Long = 0,
+)
 
 /** What a simulation has measured. [unusableShare] is the part of the pool's cores that was free but fitted no task while some waited. */
 internal class PlacementResult(
@@ -65,6 +75,7 @@
     private class Running(val task: Task, val worker: TrackedWorker, val endsAt: Long)
 
     private val random = Random(seed)
+    private val labelSpeeds = LabelSpeeds()
     val workers = List(shape.workers) { index -> tracked(index) }
     private val speeds = List(shape.workers) { shape.speeds[it % shape.speeds.size] }
     private val waiting = ArrayDeque<Task>()
@@ -73,13 +84,21 @@
     private val ends = HashMap<String, MutableList<Long>>()
     private var unusableMilliMs = 0.0
     private var count = 0
+    private val restarts = Random(seed)
+    private var nextRestart = 0L
 
     private fun tracked(index: Int): TrackedWorker {
         val cores = if (index % 3 == 1) 48 else 32
-        val entry = worker("w$index").copy(capacity = Demand(cores * 1_000, 262_144), labels = setOf(rack(index / shape.perRack)))
-        return TrackedWorker(entry, rules).apply { hasRunList = true }
+        val entry = worker("w$index").copy(capacity = Demand(cores * 1_000, 262_144), labels = labels(index))
+        return TrackedWorker(entry, rules, labelSpeeds = labelSpeeds).apply { hasRunList = true }
     }
 
+    private fun labels(index: Int) = setOfNotNull(
+        "all",
+        rack(index / shape.perRack),
+        "kind-${index % shape.speeds.size}".takeIf { shape.hasKindLabels },
+    )
+
     private fun rack(number: Int) = "rack-$number"
 
     fun run(): PlacementResult {
@@ -93,12 +112,19 @@
             check(now < lengthMs * MAX_LENGTHS) { "${waiting.size} tasks wait for ever" }
             while (running.isNotEmpty() && running.peek().endsAt <= now) end(running.poll(), now)
             while (next < arrivals.size && arrivals[next].arrivedAt <= now) waiting += arrivals[next++]
+            restart(now)
             schedule(now)
         }
         val cores = workers.sumOf { it.entry.capacity.cpuMilli.toLong() }
         return PlacementResult(unusableMilliMs / (cores.toDouble() * lengthMs), waits, ends)
     }
 
+    private fun restart(now: Long) {
+        if (shape.restartEveryMs == 0L || now < nextRestart) return
+        nextRestart = now + shape.restartEveryMs
+        workers.filter { it.runs.isEmpty() }.randomOrNull(restarts)?.health?.forgetSpeed()
+    }
+
     private fun arrivals(): List<Task> = kinds.flatMap { kind ->
         generateSequence(gap(kind)) { it + gap(kind) }.takeWhile { it < lengthMs }.map { task(kind, it.toLong()) }.toList()
     }.sortedBy { it.arrivedAt }
@@ -150,7 +176,7 @@
     }
 
     private fun TrackedWorker.applyDone(run: TrackedRun, now: Long) {
-        health.succeeded(now - run.orderedAt, run.order.estimateMs)
+        health.succeeded(now - run.orderedAt, averageMs(run.order))
         removeRun(run.order.task)
     }
 
