Let runs wait for their rack where that ends them earlier

Cause: a run whose rack was full went outside it at once, where it takes longer by the penalty, although runs in the rack end every few ms. Runs without a rack filled the rack that many urgent runs wanted.

Change: RackWaits lets a run wait while it is expected to end earlier in the rack, by the estimates and the reported progress of the runs on this VM's workers there and by the runs that wait already; a run that takes longer than estimated is expected to go on for half as long again. It waits neither within 50 ms (one pass) of RunOrder.latestStartAt nor for longer than it could have saved when it began to wait. Runs without a rack leave racks that were requested in the last 3 s to others, among nearly equal workers. RunOrder gets the fields of the change to the waiting runs; until Dispatch fills in latestStartAt no run waits.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/CandidateWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/CandidateWorker.kt
@@ -1,4 +1,13 @@
 package dandelionpoint.coordination.fleet
 
-/** A worker on which a run can be started at once, where it takes [expectedMs] and leaves [leftMilli] thousandths of a core free. */
-internal data class CandidateWorker(val workerId: String, val expectedMs: Long, val leftMilli: Int, val isInRack: Boolean = true)
+/**
+ * A worker on which a run can be started at once, where it takes [expectedMs] and leaves [leftMilli] thousandths of a core free. Runs that
+ * need the worker's rack are there in number if [isRackInDemand].
+ */
+internal data class CandidateWorker(
+    val workerId: String,
+    val expectedMs: Long,
+    val leftMilli: Int,
+    val isInRack: Boolean = true,
+    val isRackInDemand: Boolean = false,
+)
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -142,16 +142,15 @@
      */
     fun place(order: RunOrder, now: Long, excluded: String? = null, workerId: String? = null): Placement? = synchronized(lock) {
         if (hasTask(order.task)) return@synchronized null
-        val candidates = candidates(order, now, excluded).filter { workerId == null || it.workerId == workerId }
+        val candidates = query { it.candidates(order, now, excluded) }.filter { workerId == null || it.workerId == workerId }
         val worker = candidates.choose { it }?.let { workers[it.workerId] } ?: return@synchronized null
         worker.addRun(order, now)
         leases.placement(worker, order, now)
     }
 
-    /** The workers other than [excluded] on which [order] can be started, if no run of the task is in progress in the cell. */
-    fun candidates(order: RunOrder, now: Long, excluded: String?): List<CandidateWorker> = synchronized(lock) {
-        if (acceptsRuns) workers.values.candidates(order, now, excluded) else emptyList()
-    }
+    /** The result of [query] for the workers, which it must not change or keep; an empty list if the cell accepts no runs. */
+    fun <T> query(query: (Collection<TrackedWorker>) -> List<T>): List<T> =
+        synchronized(lock) { if (acceptsRuns) query(workers.values) else emptyList() }
 
     /** True if a worker other than the one to avoid can run [order], now or after other runs have ended. */
     fun couldRunElsewhere(order: RunOrder, now: Long): Boolean = synchronized(lock) { workers.values.canRunElsewhere(order, now) }
@@ -225,6 +224,7 @@
         val run = worker.runs[row.run.task]?.takeIf { it.order.run == row.run }
             ?: return stops.stopUntracked(worker, row.run, listRequestedAt, now)
         run.recordRunning(now)
+        run.recordProgress(row.percent, now)
         run.stop?.onListed(listRequestedAt)
         if (run.stop == null) {
             if (!worker.isStalled(run, row.percent, now)) return emptyList()
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/RunOrder.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/RunOrder.kt
@@ -23,6 +23,9 @@
  * order. [estimateMs] is the expected run time in ms. [avoid] is the worker of an earlier, unsuccessful run of the task, used only as a
  * last choice. If the earlier run [hasFailed] there, that worker is not used at all while another one of the cell can run the task, since
  * a task has few attempts. [wantedAt] is the date at which the request for a remote run says that it was wanted, see [RunDemand].
+ * Waiting runs get capacity in the order of [priority], 0 first, and then of [onTimeStartAt], the latest time at which the run can start
+ * for its job to be on time. A run that waits in a cell of another VM is not started at [latestStartAt] or later. Both are times on the
+ * monotonic clock, as above.
  */
 internal data class RunOrder(
     val run: TaskRun,
@@ -40,6 +43,9 @@
     val entryVm: String = origin,
     val deadlineAt: Long = Long.MAX_VALUE,
     val wantedAt: Long = Long.MIN_VALUE / 2,
+    val priority: Int = 0,
+    val onTimeStartAt: Long = 0,
+    val latestStartAt: Long = Long.MIN_VALUE,
 ) {
     val key: RunKey get() = RunKey(origin, dispatch, run)
 
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -38,6 +38,15 @@
     /** A run list that was requested later than this contains the run, unless it has ended or never started. */
     var listedAfter = Long.MAX_VALUE
 
+    /** Total run time by the last report of the run's progress, in ms; null if there was none that shows progress. */
+    var projectedMs: Long? = null
+        private set
+
+    /** Records that [percent] of the run's work were done at [now]. */
+    fun recordProgress(percent: Int, now: Long) {
+        if (percent >= MIN_PERCENT) projectedMs = (now - orderedAt) * 100 / percent
+    }
+
     /** True once the worker has confirmed the start or listed the run. */
     var hasStarted = false
         private set
@@ -68,6 +77,11 @@
         stop?.recordConfirmed(now)
         listedAfter = now
     }
+
+    private companion object {
+        /** Less progress says little about the run time. */
+        const val MIN_PERCENT = 20
+    }
 }
 
 /**
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerChoice.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerChoice.kt
@@ -1,6 +1,7 @@
 /*
  * The choice of a worker for a run: among the workers on which it is expected to end nearly as early as on the best one, the one on which
- * least CPU is left over (best fit), so that gaps for large tasks remain. All times are in ms.
+ * least CPU is left over (best fit), so that gaps for large tasks remain. Runs without a rack leave racks in demand to others.
+ * All times are in ms.
  */
 package dandelionpoint.coordination.fleet
 
@@ -19,17 +20,28 @@
 internal fun <T> List<T>.choose(candidate: (T) -> CandidateWorker): T? {
     val bestMs = minOfOrNull { candidate(it).expectedMs } ?: return null
     return filter { isNearlyEqual(candidate(it).expectedMs, bestMs) }
-        .minWithOrNull(compareBy({ candidate(it).leftMilli }, { candidate(it).expectedMs }))
+        .minWithOrNull(compareBy({ candidate(it).isRackInDemand }, { candidate(it).leftMilli }, { candidate(it).expectedMs }))
 }
 
 /**
  * The workers that can start [order] at [now]. Neither [excluded] is among them nor a worker on which the task has failed, if another one
- * can run it.
+ * can run it. The racks in [racksInDemand] should be avoided.
  */
-internal fun Collection<TrackedWorker>.candidates(order: RunOrder, now: Long, excluded: String?): List<CandidateWorker> {
+internal fun Collection<TrackedWorker>.candidates(
+    order: RunOrder,
+    now: Long,
+    excluded: String?,
+    racksInDemand: Set<String> = emptySet(),
+): List<CandidateWorker> {
     val avoided = excluded ?: order.avoid?.takeIf { order.hasFailed && canRunElsewhere(order, now) }
     return filter { it.entry.id != avoided && it.fits(order, now) }.map {
-        CandidateWorker(it.entry.id, it.expectedMs(order), it.free().cpuMilli - order.demand.cpuMilli, it.isInRack(order))
+        CandidateWorker(
+            workerId = it.entry.id,
+            expectedMs = it.expectedMs(order),
+            leftMilli = it.free().cpuMilli - order.demand.cpuMilli,
+            isInRack = it.isInRack(order),
+            isRackInDemand = racksInDemand.isNotEmpty() && it.entry.labels.any { label -> label in racksInDemand },
+        )
     }
 }
 
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -266,6 +266,8 @@
         override fun place(order: RunOrder, avoidsWorker: Boolean, accepts: (CandidateWorker) -> Boolean): String? =
             cells.place(order, avoidsWorker, accepts)
 
+        override fun waitsForRack(order: RunOrder, elsewhereMs: Long): Boolean = cells.waitsForRack(order, elsewhereMs)
+
         override fun cores(pool: String): Int = cells.cores()[pool] ?: 0
 
         override fun isLive(vm: VmIdentity): Boolean = peers.liveness.isLive(vm)
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -47,7 +47,10 @@
      * Starts a run in a cell that this VM owns, if the caller [accepts] the best worker there. Returns the cell, null if it does not or if
      * the run fits on no worker. See [OwnedCells.place].
      */
-    fun place(order: RunOrder, avoidsWorker: Boolean, accepts: (CandidateWorker) -> Boolean): String?
+    fun place(order: RunOrder, avoidsWorker: Boolean, accepts: (CandidateWorker) -> Boolean = { true }): String?
+
+    /** True if a run that takes [elsewhereMs] outside its rack waits for the rack. See [OwnedCells.waitsForRack]. */
+    fun waitsForRack(order: RunOrder, elsewhereMs: Long): Boolean = false
 
     /** Cores of a pool's workers in the cells that this VM owns. */
     fun cores(pool: String): Int
@@ -117,14 +120,20 @@
         // A run of the task that another VM dispatched may still be in progress in a cell of this VM.
         if (view.hasTask(order.task)) return null
         var offer: RemoteOffer<RemoteWorker>? = null
+        var waits = false
         val own = view.place(order, avoidsWorker = true) { own ->
-            placementRules.prefersOwn(order, own) { remote.offer(order).also { offer = it } }
+            val prefersOwn = placementRules.prefersOwn(order, own) { remote.offer(order).also { offer = it } }
+            waits = prefersOwn && !own.isInRack && view.waitsForRack(order, own.expectedMs)
+            prefersOwn && !waits
         }
-        return own?.let { RunLocation.Local(it) }
-            ?: (offer ?: remote.offer(order))?.let { placeRemotely(order, it) }
-            ?: order.avoid?.let { view.place(order, avoidsWorker = false) { true } }?.let { RunLocation.Local(it) }
+        if (own != null || waits) return own?.let { RunLocation.Local(it) }
+        val other = offer ?: remote.offer(order)
+        if (other != null) return if (waitsForRack(order, other)) null else placeRemotely(order, other)
+        return order.avoid?.let { view.place(order, avoidsWorker = false) }?.let { RunLocation.Local(it) }
     }
 
+    private fun waitsForRack(order: RunOrder, other: RemoteOffer<*>) = !other.isInRack && view.waitsForRack(order, other.expectedMs)
+
     private fun placeRemotely(order: RunOrder, offer: RemoteOffer<RemoteWorker>): RunLocation {
         val (vm, location) = remote.reserve(order, offer)
         val run = RemoteRun(order, vm)
--- a/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
@@ -9,10 +9,14 @@
 import dandelionpoint.coordination.fleet.Cells
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.LabelSpeeds
+import dandelionpoint.coordination.fleet.RackDemand
+import dandelionpoint.coordination.fleet.RackWaits
 import dandelionpoint.coordination.fleet.RunDemand
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
+import dandelionpoint.coordination.fleet.candidates
 import dandelionpoint.coordination.fleet.choose
+import dandelionpoint.coordination.fleet.rackSlots
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.WorkerEntry
@@ -39,6 +43,10 @@
 ) {
     private val controllers = ConcurrentHashMap<String, CellController>()
     private val labelSpeeds = LabelSpeeds()
+    private val rackDemand = RackDemand()
+
+    /** Guarded by [placementLock]. */
+    private val rackWaits = RackWaits()
 
     /** Held while a run is placed, so that a task is not placed in two cells at once. */
     private val placementLock = Any()
@@ -84,7 +92,8 @@
             val now = clock.millis()
             val excluded =
                 order.avoid?.takeIf { avoidsWorker || (order.hasFailed && owned().any { it.cell.couldRunElsewhere(order, now) }) }
-            val candidates = owned().flatMap { of -> of.cell.candidates(order, now, excluded).map { of to it } }
+            val racksInDemand = rackDemand.racksToAvoid(order, now)
+            val candidates = owned().flatMap { of -> of.cell.query { it.candidates(order, now, excluded, racksInDemand) }.map { of to it } }
             val best = candidates.choose { it.second } ?: return null
             return if (accepts(best.second)) start(order, excluded, candidates) else null
         }
@@ -93,10 +102,21 @@
     private tailrec fun start(order: RunOrder, excluded: String?, candidates: List<Pair<CellController, CandidateWorker>>): String? {
         val chosen = candidates.choose { it.second } ?: return null
         val (controller, candidate) = chosen
-        if (controller.place(order, excluded, candidate.workerId)) return controller.cell.name
+        if (controller.place(order, excluded, candidate.workerId)) {
+            rackWaits.forget(order.task)
+            return controller.cell.name
+        }
         return start(order, excluded, candidates - chosen)
     }
 
+    /** True if [order], which takes [elsewhereMs] outside its rack, waits for the rack's workers in the owned cells. See [RackWaits]. */
+    fun waitsForRack(order: RunOrder, elsewhereMs: Long): Boolean = synchronized(placementLock) {
+        val now = clock.millis()
+        // Most runs come without a time that they may wait.
+        if (order.latestStartAt <= now) return false
+        rackWaits.waits(order, owned().flatMap { of -> of.cell.query { it.rackSlots(order, now) } }, elsewhereMs, now)
+    }
+
     /** Free capacity of the workers of all owned cells, by pool. */
     fun freeCapacity(): Map<String, List<FreeCapacity>> {
         val now = clock.millis()
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/PlacementExperiment.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/PlacementExperiment.kt
@@ -35,6 +35,29 @@
     println("restarts, labels tell the speed: %-5s  end %.0f".format(hasKindLabels, ends.average()))
 }
 
+/** Share of the tasks that are on time if six tenths of the urgent ones want one rack of four. */
+private fun reportRack(factor: Double, penalty: Double, errors: EstimateErrors) {
+    val kinds = OPERATORS_KINDS.map { it.copy(perSecond = it.perSecond * factor, rackShare = if (it.name == "urgent") 0.6 else 0.0) }
+    listOf(false to false, false to true, true to false, true to true).forEach { (waits, avoids) ->
+        val results = (1L..SEEDS).map {
+            val rules = FleetRules(remotePenalty = penalty)
+            PlacementSimulation(
+                it,
+                kinds,
+                BEST_FIT,
+                errors = errors,
+                rules = rules,
+                mayWaitForRack = waits,
+                avoidsRacksInDemand = avoids,
+            ).run()
+        }
+        val shares = kinds.joinToString { kind ->
+            "${kind.name} %.3f".format(results.map { it.shareWithin(kind.name, kind.onTimeMs) }.average())
+        }
+        println("rack wanted, x $factor, penalty $penalty, spread ${errors.spread}, waits $waits, others avoid it $avoids: on time $shares")
+    }
+}
+
 private const val SEEDS = 10L
 
 internal fun main() {
@@ -47,4 +70,10 @@
         }
     }
     reportRestarts()
+    listOf(0.8, 1.0, 1.2).forEach { factor ->
+        listOf(2.0, 3.0).forEach { penalty ->
+            reportRack(factor, penalty, EstimateErrors())
+            reportRack(factor, penalty, EstimateErrors(0.4, 0.03, 7.0))
+        }
+    }
 }
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/PlacementSimulation.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/PlacementSimulation.kt
@@ -15,6 +15,9 @@
 /** A kind of task: [perSecond] of them arrive, each with about [cores] (a fifth more or less) and a run time of [runMs]. */
 internal data class TaskKind(val name: String, val perSecond: Double, val cores: Double, val runMs: Long, val rackShare: Double = 0.0)
 
+/** Time from the arrival within which a task of this kind is on time, as the operators define it. */
+internal val TaskKind.onTimeMs: Long get() = runMs * 16 / 10 + 61
+
 /** Chooses one of the workers on which a task can be started now; null lets it wait. */
 internal fun interface ChoiceRule {
     fun choose(order: RunOrder, candidates: List<CandidateWorker>): CandidateWorker?
@@ -69,6 +72,8 @@
     private val shape: PoolShape = PoolShape(),
     private val errors: EstimateErrors = EstimateErrors(),
     private val rules: FleetRules = FleetRules(),
+    private val mayWaitForRack: Boolean = true,
+    private val avoidsRacksInDemand: Boolean = true,
 ) {
     private class Task(val kind: TaskKind, val order: RunOrder, val runMs: Double, val arrivedAt: Long)
 
@@ -76,6 +81,8 @@
 
     private val random = Random(seed)
     private val labelSpeeds = LabelSpeeds()
+    private val rackWaits = RackWaits()
+    private val rackDemand = RackDemand()
     val workers = List(shape.workers) { index -> tracked(index) }
     private val speeds = List(shape.workers) { shape.speeds[it % shape.speeds.size] }
     private val waiting = ArrayDeque<Task>()
@@ -140,6 +147,7 @@
             demand = demand,
             estimateMs = max(1, (kind.runMs * error).toLong()),
             rack = rack(0).takeIf { random.nextDouble() < kind.rackShare },
+            latestStartAt = arrivedAt + kind.onTimeMs - kind.runMs,
         )
         return Task(kind, order, kind.runMs * outlier, arrivedAt)
     }
@@ -150,7 +158,7 @@
         val tasks = waiting.iterator()
         while (tasks.hasNext() && unplaced < MAX_UNPLACED) {
             val task = tasks.next()
-            val chosen = rule.choose(task.order, workers.candidates(task.order, now, excluded = null))
+            val chosen = choose(task.order, now)
             if (chosen == null) {
                 unplaced++
             } else {
@@ -160,7 +168,15 @@
         }
     }
 
+    private fun choose(order: RunOrder, now: Long): CandidateWorker? {
+        val racks = if (avoidsRacksInDemand) rackDemand.racksToAvoid(order, now) else emptySet()
+        val chosen = rule.choose(order, workers.candidates(order, now, excluded = null, racks)) ?: return null
+        if (chosen.isInRack || !mayWaitForRack) return chosen
+        return chosen.takeUnless { rackWaits.waits(order, workers.rackSlots(order, now), chosen.expectedMs, now) }
+    }
+
     private fun start(task: Task, worker: TrackedWorker, now: Long) {
+        rackWaits.forget(task.order.task)
         worker.addRun(task.order, now)
         check(worker.entry.capacity.covers(worker.runs.values.fold(Demand(0)) { sum, run -> sum + run.order.demand })) { "overbooked" }
         val penalty = if (worker.isInRack(task.order)) 1.0 else rules.remotePenalty
