--- a/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
@@ -8,11 +8,16 @@
 import dandelionpoint.coordination.fleet.Cell
 import dandelionpoint.coordination.fleet.Cells
 import dandelionpoint.coordination.fleet.FleetRules
+import dandelionpoint.coordination.fleet.LabelSpeeds
+import dandelionpoint.coordination.fleet.RackDemand
+import dandelionpoint.coordination.fleet.RackWaits
 import dandelionpoint.coordination.fleet.RunDemand
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
 import dandelionpoint.coordination.fleet.WorkerResponseTimes
+import dandelionpoint.coordination.fleet.candidates
 import dandelionpoint.coordination.fleet.choose
+import dandelionpoint.coordination.fleet.rackSlots
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.WorkerEntry
@@ -38,6 +43,11 @@
     private val demand: RunDemand,
 ) {
     private val controllers = ConcurrentHashMap<String, CellController>()
+    private val labelSpeeds = LabelSpeeds()
+    private val rackDemand = RackDemand()
+
+    /** Guarded by [placementLock]. */
+    private val rackWaits = RackWaits()
 
     /** Shared by all cells: a cell has few workers, so that its own calls would show only late how fast answers are. */
     private val responseTimes = WorkerResponseTimes(rules)
@@ -86,7 +96,8 @@
             val now = clock.millis()
             val excluded =
                 order.avoid?.takeIf { avoidsWorker || (order.hasFailed && owned().any { it.cell.couldRunElsewhere(order, now) }) }
-            val candidates = owned().flatMap { of -> of.cell.candidates(order, now, excluded).map { of to it } }
+            val racksInDemand = rackDemand.racksToAvoid(order, now)
+            val candidates = owned().flatMap { of -> of.cell.query { it.candidates(order, now, excluded, racksInDemand) }.map { of to it } }
             val best = candidates.choose { it.second } ?: return null
             return if (accepts(best.second)) start(order, excluded, candidates) else null
         }
@@ -95,13 +106,24 @@
     private tailrec fun start(order: RunOrder, excluded: String?, candidates: List<Pair<CellController, CandidateWorker>>): String? {
         val chosen = candidates.choose { it.second } ?: return null
         val (controller, candidate) = chosen
-        if (controller.place(order, excluded, candidate.workerId)) return controller.cell.name
+        if (controller.place(order, excluded, candidate.workerId)) {
+            rackWaits.forget(order.task)
+            return controller.cell.name
+        }
         return start(order, excluded, candidates - chosen)
     }
 
     /** True if a worker of the owned cells can run [order], which names none to avoid, now or after other runs have ended. */
     fun couldRun(order: RunOrder): Boolean = clock.millis().let { now -> owned().any { it.cell.couldRunElsewhere(order, now) } }
 
+    /** True if [order], which takes [elsewhereMs] outside its rack, waits for the rack's workers in the owned cells. See [RackWaits]. */
+    fun waitsForRack(order: RunOrder, elsewhereMs: Long): Boolean = synchronized(placementLock) {
+        val now = clock.millis()
+        // Most runs come without a time that they may wait.
+        if (order.latestStartAt <= now) return false
+        rackWaits.waits(order, owned().flatMap { of -> of.cell.query { it.rackSlots(order, now) } }, elsewhereMs, now)
+    }
+
     /** Free capacity of the workers of all owned cells, by pool. */
     fun freeCapacity(): Map<String, List<FreeCapacity>> {
         val now = clock.millis()
@@ -116,7 +138,8 @@
 
     /** Takes ownership of [cell] under [token]. Workers that a [formerOwner] still uses are free once it releases them. */
     fun gain(cell: String, token: Long, formerOwner: VmIdentity?) {
-        val controller = CellController(scope, Cell(cell, token, rules, demand, responseTimes), port, listener, clock, rules)
+        val cellState = Cell(cell, token, rules, demand, responseTimes, labelSpeeds)
+        val controller = CellController(scope, cellState, port, listener, clock, rules)
         val ownWorkers = workers().filter { Cells.ofWorker(it) == cell }
         if (formerOwner != null) {
             formerOwners[cell] = formerOwner
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/PlacementSimulation.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/PlacementSimulation.kt
@@ -15,6 +15,9 @@
 /** A kind of task: [perSecond] of them arrive, each with about [cores] (a fifth more or less) and a run time of [runMs]. */
 internal data class TaskKind(val name: String, val perSecond: Double, val cores: Double, val runMs: Long, val rackShare: Double = 0.0)
 
+/** Time from the arrival within which a task of this kind is on time, as the operators define it. */
+internal val TaskKind.onTimeMs: Long get() = runMs * 16 / 10 + 61
+
 /** Chooses one of the workers on which a task can be started now; null lets it wait. */
 internal fun interface ChoiceRule {
     fun choose(order: RunOrder, candidates: List<CandidateWorker>): CandidateWorker?
@@ -26,7 +29,17 @@
 /** Errors of the estimates: off by up to [spread] of the run time; of the tasks, [outlierShare] take [outlierFactor] times as long. */
 internal data class EstimateErrors(val spread: Double = 0.0, val outlierShare: Double = 0.0, val outlierFactor: Double = 1.0)
 
-internal data class PoolShape(val workers: Int = 16, val perRack: Int = 4, val speeds: List<Double> = listOf(0.7, 0.7, 1.7))
+/**
+ * A pool in which every third worker is 1.5 times as large. With [hasKindLabels] the workers have a label that tells their speed; one of
+ * them restarts each [restartEveryMs] (0: none does) while no run of it is in progress.
+ */
+internal data class PoolShape(
+    val workers: Int = 16,
+    val perRack: Int = 4,
+    val speeds: List<Double> = listOf(0.7, 0.7, 1.7),
+    val hasKindLabels: Boolean = true,
+    val restartEveryMs: Long = 0,
+)
 
 /** What a simulation has measured. [unusableShare] is the part of the pool's cores that was free but fitted no task while some waited. */
 internal class PlacementResult(
@@ -59,12 +72,17 @@
     private val shape: PoolShape = PoolShape(),
     private val errors: EstimateErrors = EstimateErrors(),
     private val rules: FleetRules = FleetRules(),
+    private val mayWaitForRack: Boolean = true,
+    private val avoidsRacksInDemand: Boolean = true,
 ) {
     private class Task(val kind: TaskKind, val order: RunOrder, val runMs: Double, val arrivedAt: Long)
 
     private class Running(val task: Task, val worker: TrackedWorker, val endsAt: Long)
 
     private val random = Random(seed)
+    private val labelSpeeds = LabelSpeeds()
+    private val rackWaits = RackWaits()
+    private val rackDemand = RackDemand()
     val workers = List(shape.workers) { index -> tracked(index) }
     private val speeds = List(shape.workers) { shape.speeds[it % shape.speeds.size] }
     private val waiting = ArrayDeque<Task>()
@@ -73,13 +91,21 @@
     private val ends = HashMap<String, MutableList<Long>>()
     private var unusableMilliMs = 0.0
     private var count = 0
+    private val restarts = Random(seed)
+    private var nextRestart = 0L
 
     private fun tracked(index: Int): TrackedWorker {
         val cores = if (index % 3 == 1) 48 else 32
-        val entry = worker("w$index").copy(capacity = Demand(cores * 1_000, 262_144), labels = setOf(rack(index / shape.perRack)))
-        return TrackedWorker(entry, rules).apply { hasRunList = true }
+        val entry = worker("w$index").copy(capacity = Demand(cores * 1_000, 262_144), labels = labels(index))
+        return TrackedWorker(entry, rules, labelSpeeds = labelSpeeds).apply { hasRunList = true }
     }
 
+    private fun labels(index: Int) = setOfNotNull(
+        "all",
+        rack(index / shape.perRack),
+        "kind-${index % shape.speeds.size}".takeIf { shape.hasKindLabels },
+    )
+
     private fun rack(number: Int) = "rack-$number"
 
     fun run(): PlacementResult {
@@ -93,12 +119,19 @@
             check(now < lengthMs * MAX_LENGTHS) { "${waiting.size} tasks wait for ever" }
             while (running.isNotEmpty() && running.peek().endsAt <= now) end(running.poll(), now)
             while (next < arrivals.size && arrivals[next].arrivedAt <= now) waiting += arrivals[next++]
+            restart(now)
             schedule(now)
         }
         val cores = workers.sumOf { it.entry.capacity.cpuMilli.toLong() }
         return PlacementResult(unusableMilliMs / (cores.toDouble() * lengthMs), waits, ends)
     }
 
+    private fun restart(now: Long) {
+        if (shape.restartEveryMs == 0L || now < nextRestart) return
+        nextRestart = now + shape.restartEveryMs
+        workers.filter { it.runs.isEmpty() }.randomOrNull(restarts)?.health?.forgetSpeed()
+    }
+
     private fun arrivals(): List<Task> = kinds.flatMap { kind ->
         generateSequence(gap(kind)) { it + gap(kind) }.takeWhile { it < lengthMs }.map { task(kind, it.toLong()) }.toList()
     }.sortedBy { it.arrivedAt }
@@ -114,6 +147,7 @@
             demand = demand,
             estimateMs = max(1, (kind.runMs * error).toLong()),
             rack = rack(0).takeIf { random.nextDouble() < kind.rackShare },
+            latestStartAt = arrivedAt + kind.onTimeMs - kind.runMs,
         )
         return Task(kind, order, kind.runMs * outlier, arrivedAt)
     }
@@ -124,7 +158,7 @@
         val tasks = waiting.iterator()
         while (tasks.hasNext() && unplaced < MAX_UNPLACED) {
             val task = tasks.next()
-            val chosen = rule.choose(task.order, workers.candidates(task.order, now, excluded = null))
+            val chosen = choose(task.order, now)
             if (chosen == null) {
                 unplaced++
             } else {
@@ -134,7 +168,15 @@
         }
     }
 
+    private fun choose(order: RunOrder, now: Long): CandidateWorker? {
+        val racks = if (avoidsRacksInDemand) rackDemand.racksToAvoid(order, now) else emptySet()
+        val chosen = rule.choose(order, workers.candidates(order, now, excluded = null, racks)) ?: return null
+        if (chosen.isInRack || !mayWaitForRack) return chosen
+        return chosen.takeUnless { rackWaits.waits(order, workers.rackSlots(order, now), chosen.expectedMs, now) }
+    }
+
     private fun start(task: Task, worker: TrackedWorker, now: Long) {
+        rackWaits.forget(task.order.task)
         worker.addRun(task.order, now)
         check(worker.entry.capacity.covers(worker.runs.values.fold(Demand(0)) { sum, run -> sum + run.order.demand })) { "overbooked" }
         val penalty = if (worker.isInRack(task.order)) 1.0 else rules.remotePenalty
@@ -150,7 +192,7 @@
     }
 
     private fun TrackedWorker.applyDone(run: TrackedRun, now: Long) {
-        health.succeeded(now - run.orderedAt, run.order.estimateMs)
+        health.succeeded(now - run.orderedAt, averageMs(run.order))
         removeRun(run.order.task)
     }
 
