Cancel a job at the VM that dispatches it, whichever VM was asked

Cause: a DELETE or GET was answered from the submissions of the VM that it reached. At the VM with the POST, 200 was sent before the dispatching VM had the cancellation.

Change: JobInquiries asks the owner of the job's cell in the own data centre, follows the former owner's redirect, and if the job is not there asks one VM in each other data centre, which names the owner there: at most 12 messages for each data centre. 200 only once the dispatching VM has ended the job, 410 only if all of them have no such job, otherwise 503 with Retry-After. An inquiry older than 500 ms ends nothing. The VM that would dispatch the job remembers the cancellation for 10 s: a submission that arrived before it starts nothing.

The simulation's disconnected clients use FleetVm.endSubmissions, which does what FleetVm.cancel did.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -77,6 +77,9 @@
     /** Answers to the latest attempts, for offers that arrive again, or only after their cancellation. */
     private val answers = ExpiringMap<AttemptKey, JobOutcome>()
 
+    /** When jobs were cancelled by their ids. Submissions that arrived earlier start nothing, also if they are offered later. */
+    private val cancelledAt = ExpiringMap<String, Long>()
+
     /**
      * Accepts or refuses a job. [poolCores] is the number of cores of the usable workers of its pool; [placer] places the tasks that can
      * start at once. The job is in progress unless the returned events contain a `Finished` for it. Idempotent: an attempt that has been
@@ -84,6 +87,9 @@
      */
     fun submit(submission: Submission, poolCores: Double, now: Long, placer: RunPlacer): List<DispatchEvent> = synchronized(lock) {
         answers[submission.attempt]?.let { return@synchronized listOf(answer(submission.job.id, setOf(submission.attempt), it, now)) }
+        if (isCancelled(submission)) {
+            return@synchronized listOf(answer(submission.job.id, setOf(submission.attempt), CANCELLED, now))
+        }
         jobs[submission.job.id]?.let { inProgress ->
             inProgress.join(submission)
             return@synchronized emptyList()
@@ -207,7 +213,7 @@
      * the runs are stopped and started again for that one. An attempt that is not known yet is refused when it arrives.
      */
     fun cancel(attempt: AttemptKey, now: Long): List<DispatchEvent> = synchronized(lock) {
-        val outcome = JobOutcome.GivenUp("cancelled")
+        val outcome = CANCELLED
         val job = jobs[attempt.jobId]?.takeIf { attempt in it.attempts }
         when {
             job != null -> {
@@ -236,6 +242,14 @@
         }
     }
 
+    /** A client has cancelled the job [jobId], whoever submitted it. Returns null if the job is not in progress here. */
+    fun cancelJob(jobId: String, now: Long): List<DispatchEvent>? = synchronized(lock) {
+        cancelledAt.put(jobId, now, now + ANSWER_KEPT_MS, now)
+        jobs[jobId]?.let { finish(it, CANCELLED, now) }
+    }
+
+    private fun isCancelled(submission: Submission): Boolean = cancelledAt[submission.job.id]?.let { submission.arrivedAt <= it } ?: false
+
     /** Answers [attempts] of [job] with [outcome], and ends the job if there are no others. */
     private fun leave(job: DispatchedJob, attempts: Set<AttemptKey>, outcome: JobOutcome, now: Long): List<DispatchEvent> {
         if (attempts.containsAll(job.attempts)) return finish(job, outcome, now)
@@ -285,6 +299,8 @@
         synchronized(lock) { jobs.values.filter { !it.hasStarted }.groupingBy { it.queue.name }.eachCount() }
 
     private companion object {
+        val CANCELLED = JobOutcome.GivenUp("cancelled")
+
         /** A scheduling pass ends after this many jobs with a task that fits on no worker. */
         const val MAX_UNPLACED_JOBS = 16
 
--- a/src/main/kotlin/dandelionpoint/fleet/FleetJobService.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetJobService.kt
@@ -4,6 +4,7 @@
 import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.QueueRoute
+import dandelionpoint.protocol.peer.JobPresence
 
 /** The operations of an entry VM that its client-facing server calls. */
 internal interface FleetJobService {
@@ -21,11 +22,11 @@
     /** Runs a job whose client waits for [waitMs] ms. When the client disconnects, the caller cancels [signal], at any time. */
     suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long, signal: CancellationSignal = CancellationSignal()): JobOutcome
 
-    /** Ends a job because its client has asked for it. Returns false if this VM has no such job in progress. */
-    fun cancel(jobId: String): Boolean
+    /** Ends a job because its client has asked for it, whichever VM dispatches it. Found means that this VM has accepted it. */
+    suspend fun cancel(jobId: String): JobPresence
 
-    /** True if a job that was submitted to this VM is in progress. */
-    fun hasJob(jobId: String): Boolean
+    /** Whether a job is in progress, whichever VM dispatches it. */
+    suspend fun find(jobId: String): JobPresence
 
     /** Number of jobs of a queue that have no started task, on this VM and all live peers. */
     fun waitingJobs(queue: String): Int
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -30,6 +30,7 @@
 import dandelionpoint.protocol.peer.CellHandover
 import dandelionpoint.protocol.peer.EvacuatedDataCentres
 import dandelionpoint.protocol.peer.FleetHeartbeat
+import dandelionpoint.protocol.peer.JobPresence
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.PeerReply
 import dandelionpoint.protocol.peer.VmIdentity
@@ -94,6 +95,7 @@
     private val admission = WorkAdmission(PauseDetector(clock, TICK_MS), Pauses(), clock, rules)
     private lateinit var self: VmIdentity
     private val forwarder = JobForwarder(scope, { self }, runner, network, { peers.liveness.isLive(it) }, ::routeOf, clock)
+    private val inquiries = JobInquiries(runner, forwarder, network, Inquiries(), clock)
     private val ownWork = OwnWork(cells, claims, dispatch, runner, forwarder)
     private val heartbeats = HeartbeatSender(
         network,
@@ -105,7 +107,7 @@
         peers,
         admission,
         demand,
-        PeerRequestTargets(runner, remoteRuns, claims, cells, ::routeOf, ::onHeartbeat, ::configurationMessage),
+        PeerRequestTargets(runner, inquiries, remoteRuns, claims, cells, ::routeOf, ::onHeartbeat, ::configurationMessage),
         rules,
         clock,
     )
@@ -213,9 +215,14 @@
         return if (refusal != null && !forwarder.has(job.id)) refusal else forwarder.run(job, queue, waitMs, signal)
     }
 
-    override fun cancel(jobId: String): Boolean = forwarder.cancel(jobId)
+    override suspend fun cancel(jobId: String): JobPresence = inquiries.cancel(jobId)
 
-    override fun hasJob(jobId: String): Boolean = forwarder.has(jobId)
+    override suspend fun find(jobId: String): JobPresence = inquiries.find(jobId)
+
+    /** The client of the submissions of [jobId] to this VM has disconnected. */
+    fun endSubmissions(jobId: String) {
+        forwarder.cancel(jobId)
+    }
 
     override fun waitingJobs(queue: String): Int =
         (dispatch.waitingJobs()[queue] ?: 0) + peers.liveness.live().sumOf { it.heartbeat.waitingJobs[queue] ?: 0 }
@@ -268,6 +275,17 @@
     private fun livePeer(name: String): VmIdentity? =
         peers.liveness.live().firstOrNull { it.vm.name == name && !it.heartbeat.isStopping }?.vm
 
+    private inner class Inquiries : InquiryHost {
+        override val self: VmIdentity get() = this@FleetVm.self
+
+        override fun routeOf(jobId: String): DispatchRoute = this@FleetVm.routeOf(jobId)
+
+        override fun vmsElsewhere(): Collection<List<VmIdentity>> {
+            val elsewhere = peers.liveness.live().filter { it.vm.dataCentre != settings.dataCentre }
+            return elsewhere.sortedBy { it.heartbeat.isStopping }.map { it.vm }.groupBy { it.dataCentre }.values
+        }
+    }
+
     private inner class Fleet : FleetView {
         override fun place(order: RunOrder, avoidsWorker: Boolean): String? = cells.place(order, avoidsWorker)
 
@@ -411,6 +429,7 @@
         log.info { "event=peer_lost peer=${vm.name} incarnation=${vm.incarnation}" }
         network.drop(vm)
         peers.remove(vm)
+        inquiries.peerLost(vm)
         runner.peerLost(vm)
         cells.peerLost(vm)
     }
--- a/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
@@ -48,6 +48,9 @@
 
     fun has(jobId: String): Boolean = attempts.keys.any { it.jobId == jobId }
 
+    /** The VMs that the submissions of [jobId] here were offered to; null stands for this VM, and for none yet. */
+    fun dispatchersOf(jobId: String): Set<VmIdentity?> = attempts.values.filter { it.key.jobId == jobId }.mapTo(HashSet()) { it.dispatcher }
+
     /** The other VMs that jobs of this VM's clients were offered to. */
     fun dispatchers(): Set<VmIdentity> = attempts.values.mapNotNullTo(HashSet()) { it.dispatcher }
 
@@ -143,7 +146,7 @@
         return with(submission) { JobOffer(job, queue, ageMs = now - arrivedAt, remainingMs = deadlineAt - now, attempt = number) }
     }
 
-    /** Ends the attempts of a job because a client has asked for it. Returns false if there are none in progress. */
+    /** Ends the attempts of a job here because its client has left or has asked for it. Returns false if there are none in progress. */
     fun cancel(jobId: String): Boolean {
         val ofJob = attempts.values.filter { it.key.jobId == jobId }
         ofJob.forEach { cancel(it) }
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -209,6 +209,17 @@
     /** The client of [attempt] has disconnected or cancelled it. */
     fun cancel(attempt: AttemptKey) = handle(dispatch.cancel(attempt, clock.millis()))
 
+    /** True if the job is in progress here. */
+    fun hasJob(jobId: String): Boolean = dispatch.hasJob(jobId)
+
+    /** A client has cancelled the job [jobId]. Returns false if it is not in progress here. See [Dispatch.cancelJob]. */
+    fun cancelJob(jobId: String): Boolean {
+        val events = dispatch.cancelJob(jobId, clock.millis()) ?: return false
+        log.info { "event=job_cancelled job=$jobId" }
+        handle(events)
+        return true
+    }
+
     /** [vm] is lost: ends the jobs of the clients that were connected to it. */
     fun peerLost(vm: VmIdentity) {
         remote.remove(vm)
--- a/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
@@ -15,9 +15,12 @@
 import dandelionpoint.protocol.peer.CancelAnswer
 import dandelionpoint.protocol.peer.CellHandover
 import dandelionpoint.protocol.peer.FleetHeartbeat
+import dandelionpoint.protocol.peer.InquiryAnswer
 import dandelionpoint.protocol.peer.JobAnswer
 import dandelionpoint.protocol.peer.JobCancel
+import dandelionpoint.protocol.peer.JobInquiry
 import dandelionpoint.protocol.peer.JobOffer
+import dandelionpoint.protocol.peer.JobPresence
 import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.ReleaseAnswer
 import dandelionpoint.protocol.peer.RemoteRunRequest
@@ -53,6 +56,7 @@
 /** The parts of the VM that carry out what peers ask for. */
 internal class PeerRequestTargets(
     val runner: JobRunner,
+    val inquiries: JobInquiries,
     val remoteRuns: RemoteRunServer,
     val claims: CellClaims,
     val cells: OwnedCells,
@@ -89,6 +93,8 @@
                 CancelAnswer
             }
 
+            is JobInquiry -> answer(from, message, sentAt)
+
             // Without an answer, the sender repeats the request if it still waits. The run may have started before the pause.
             is RemoteRunRequest -> if (admission.acceptsPeers()) runHere(from, message, sentAt) else null
 
@@ -111,6 +117,12 @@
         }
     }
 
+    /** An inquiry that was held up could cancel a later submission of the same job. Its sender asks again. */
+    private fun answer(from: VmIdentity, inquiry: JobInquiry, sentAt: Long): InquiryAnswer {
+        val isExpired = isExpired(from, inquiry, sentAt, rules.maxRequestAgeMs)
+        return if (isExpired) InquiryAnswer(JobPresence.UNKNOWN) else targets.inquiries.answer(inquiry)
+    }
+
     private suspend fun runHere(from: VmIdentity, request: RemoteRunRequest, sentAt: Long): PeerMessage {
         val now = clock.millis()
         val isExpired = isExpired(from, request, sentAt, rules.maxRequestAgeMs)
--- a/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
@@ -5,6 +5,7 @@
 import dandelionpoint.fleet.FleetJobService
 import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.fleet.QueueRoute
+import dandelionpoint.protocol.peer.JobPresence
 import dandelionpoint.transport.http.ClientDisconnectMonitor
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.javalin.Javalin
@@ -154,15 +155,33 @@
         val id = context.path().removePrefix(route.pathPrefix)
         when {
             id.isEmpty() -> sendJson(context, buildJsonObject { put("pending", service.waitingJobs(route.queue.name)) }.toString())
-            service.hasJob(id) -> sendState(context, "running")
-            else -> sendError(context, GONE, "no such job")
+            else -> answerPresence(context, id, state = "running") { service.find(id) }
+        }
+    }
+
+    /** Answers with [state] if [find] finds the job. Ids of another form are those of no job. */
+    private fun answerPresence(context: Context, id: String, state: String, find: suspend () -> JobPresence) {
+        if (!ID.matches(id)) return sendError(context, GONE, "no such job")
+        context.future { scope.future { find() }.thenAccept { sendPresence(context, it, state) } }
+    }
+
+    private fun sendPresence(context: Context, presence: JobPresence, state: String) {
+        when (presence) {
+            JobPresence.FOUND -> sendState(context, state)
+
+            JobPresence.NONE -> sendError(context, GONE, "no such job")
+
+            JobPresence.UNKNOWN -> {
+                context.header("Retry-After", "1")
+                sendError(context, UNAVAILABLE, "the VM that dispatches the job gave no answer")
+            }
         }
     }
 
     private fun cancel(context: Context) {
         val route = routeOf(context) ?: return
         val id = context.path().removePrefix(route.pathPrefix)
-        if (service.cancel(id)) sendState(context, "cancelled") else sendError(context, GONE, "no such job")
+        answerPresence(context, id, state = "cancelled") { service.cancel(id) }
     }
 
     private fun sendState(context: Context, state: String) = sendJson(context, buildJsonObject { put("state", state) }.toString())
--- a/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
@@ -69,6 +69,32 @@
 @SerialName("JobCancel")
 data class JobCancel(val jobId: String, val attempt: Long = 0) : FleetMessage
 
+/**
+ * Asks whether the receiver, or the VM that dispatches the job by its knowledge, has [jobId] in progress, for a client that has cancelled
+ * it ([isCancelled]) or wants to know. The sender need not have the client's submission.
+ */
+@Serializable
+@SerialName("JobInquiry")
+data class JobInquiry(val jobId: String, val isCancelled: Boolean = false) : FleetMessage
+
+/** What a VM knows of a job. */
+@Serializable
+enum class JobPresence {
+    /** The job was in progress; if the inquiry said that it is cancelled, it has ended. */
+    FOUND,
+
+    /** The VM would dispatch the job and does not have it. If the inquiry cancelled it, an earlier submission of it starts nothing. */
+    NONE,
+
+    /** The VM does not dispatch the job, or cannot say yet who does. */
+    UNKNOWN,
+}
+
+/** Reply to [JobInquiry]; [redirect] is the VM to ask if [presence] is unknown, null if the sender knows none. */
+@Serializable
+@SerialName("InquiryAnswer")
+data class InquiryAnswer(val presence: JobPresence, val redirect: VmIdentity? = null) : FleetMessage
+
 /** Reply to [JobCancel]: the job has been cancelled, or will be when it arrives. */
 @Serializable
 @SerialName("CancelAnswer")
--- a/src/test/kotlin/dandelionpoint/fleet/FleetVmTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/FleetVmTest.kt
@@ -10,6 +10,7 @@
 import dandelionpoint.protocol.fleet.RowChanges
 import dandelionpoint.protocol.fleet.RowWrite
 import dandelionpoint.protocol.fleet.SharedRows
+import dandelionpoint.protocol.peer.JobPresence
 import dandelionpoint.protocol.store.StoreError
 import dandelionpoint.standin.fleet.InProcessFleet
 import dandelionpoint.standin.fleet.MemoryWorkers
@@ -161,6 +162,31 @@
             }
         }
 
+        describe("a cancellation at any VM") {
+            // Guards against a job that goes on because the VM that was asked does not have its submission.
+            it("ends the job at the VM that dispatches it, and is refused if there is no such job") {
+                val fleet = InProcessFleet(workers = MemoryWorkers(runMs = { 3_000 }))
+                val vms = fleet.startVms("a" to "akl-a", "a2" to "akl-a", "b" to "ham-a")
+                val queue = fleet.queue.copy(latencyTargetMs = 4_000)
+                vms.forEachIndexed { number, asked ->
+                    coroutineScope {
+                        val job = jobOf(number, estimateMs = 3_000)
+                        val open = async { vms[0].run(job, queue, DEADLINE_MS) }
+                        eventually(2.seconds) { fleet.workers.starts().filter { it.run.task.jobId == job.id } shouldHaveSize 2 }
+                        asked.find(job.id) shouldBe JobPresence.FOUND
+                        asked.cancel(job.id) shouldBe JobPresence.FOUND
+                        open.await().shouldBeInstanceOf<JobOutcome.GivenUp>()
+                        eventually(1.seconds) { fleet.workers.starts().filter { it.endedAt == null }.shouldBeEmpty() }
+                        // Until some time after its start, a VM may not know the VMs of all data centres.
+                        eventually(5.seconds) { asked.find(job.id) shouldBe JobPresence.NONE }
+                        asked.cancel(job.id) shouldBe JobPresence.NONE
+                    }
+                }
+                fleet.workers.starts() shouldHaveSize 2 * vms.size
+                vms.forEach { it.close() }
+            }
+        }
+
         describe("an evacuated data centre") {
             it("gets no more starts, its clients' jobs run elsewhere, and it is used again afterwards") {
                 val fleet = InProcessFleet()
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/FleetSimulation.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/FleetSimulation.kt
@@ -9,12 +9,17 @@
 import dandelionpoint.fleet.SharedTables
 import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.fleet.FleetConfiguration
+import dandelionpoint.protocol.fleet.FleetJob
 import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.StartOrder
+import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.fleet.TaskRun
 import dandelionpoint.protocol.fleet.WorkerEntry
+import dandelionpoint.protocol.peer.JobPresence
 import dandelionpoint.standin.fleet.MemoryRows
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 
 /** Two runs of one task in progress at the same time, with the events that led there. */
 internal data class OverlappingRuns(val description: String) {
@@ -49,7 +54,7 @@
 
 /**
  * The fleet of [size] with the seed [seed] and faults of [kinds]. Its clients submit jobs of [workload],
- * and submit them again as [resubmission] has it.
+ * submit them again as [resubmission] has it, and cancel the share [cancelShare] of them.
  */
 internal class FleetSimulation(
     private val seed: Long,
@@ -57,6 +62,7 @@
     resubmission: Resubmission = Resubmission.LATER_ANYWHERE,
     size: FleetSize = FleetSize.SMALL,
     workload: Workload = Workload.SHORT,
+    cancelShare: Double = 0.0,
 ) {
     private val world = SimulationWorld(seed)
     private val queue = JobQueue(name = "lookups", pool = POOL, maxAttempts = 2, stretch = 2.0, latencyTargetMs = 600)
@@ -77,7 +83,7 @@
     private val vms = size.vms.mapIndexed { index, (name, dataCentre) ->
         SimulatedVm(world, network, SimulatedVm.settings(name, dataCentre, FIRST_PORT + index), ports(name))
     }
-    private val clients = SimulatedClients(world, vms, queue, resubmission, workload)
+    private val clients = SimulatedClients(world, vms, queue, resubmission, workload, cancelShare)
     private val workers: Map<String, SimulatedWorker> = entries.mapValues { (_, entry) ->
         SimulatedWorker(entry, world, clockRate = 1 - world.random.nextDouble() * MAX_CLOCK_LAG, clients::workOf, ::checkStart)
     }
@@ -85,10 +91,17 @@
 
     /** Violations found by [run]. */
     val violations = mutableListOf<OverlappingRuns>()
+
+    /** Starts and runs of jobs later than [CANCEL_MS] after their cancellation was answered, found by [run]. */
+    val runsAfterCancellation = mutableListOf<String>()
     var starts = 0
         private set
 
     val errors: List<Throwable> get() = world.errors
+
+    /** Number of cancellations, by their last answer. */
+    val cancellations: Map<JobPresence?, Int> get() = clients.cancellations
+
     val completedJobs: Int get() = clients.completed
 
     /** Counts that show how much happened, and a checksum of all events. */
@@ -114,6 +127,7 @@
 
     /** Runs the simulation to its end. */
     fun run() {
+        clients.onCancelled = ::checkLater
         rows.put(tables.operator, tables.configurationKey, byteArrayOf())
         entries.keys.forEach { rows.put(tables.workers, it, byteArrayOf()) }
         vms.forEach { it.start() }
@@ -129,9 +143,25 @@
         starts++
         val jobId = run.order.run.task.jobId
         world.record(jobId, "start of ${run.describe()}")
+        val cancelledAt = clients.cancelledAt[jobId]
+        if (cancelledAt != null && world.now() > cancelledAt + CANCEL_MS) reportAfterCancellation(run, "starts")
         workers.values.flatMap { it.runsOf(run.order.run.task) }.forEach { other -> violations += overlap(other, run) }
     }
 
+    private fun checkLater(job: FleetJob) {
+        world.scope.launch {
+            delay(CANCEL_MS)
+            val tasks = job.steps.flatMapIndexed { step, of -> List(of.count) { TaskRef(job.id, step, it) } }
+            workers.values.flatMap { worker -> tasks.flatMap { worker.runsOf(it) } }.forEach { reportAfterCancellation(it, "runs on") }
+        }
+    }
+
+    private fun reportAfterCancellation(run: SimulatedRun, what: String) {
+        val jobId = run.order.run.task.jobId
+        val lines = world.events.filter { it.jobId == jobId }.joinToString("\n") { "    ${it.at} ${it.text}" }
+        runsAfterCancellation += "seed $seed, ${world.now()} ms: ${run.describe()} $what\n$lines"
+    }
+
     private fun overlap(earlier: SimulatedRun, later: SimulatedRun): OverlappingRuns {
         val now = world.now()
         val task = later.order.run.task
@@ -150,6 +180,12 @@
         val CAPACITY = Demand(cpuMilli = 4_000, memoryMb = 8_192)
         const val FIRST_PORT = 1_000
 
+        /**
+         * Time after which nothing of a cancelled job runs, in ms: a stop that is lost is repeated, and the leases of the runs of a lost VM
+         * have ended.
+         */
+        const val CANCEL_MS = 1_300L
+
         /** A worker's clock runs at most this share slower than the VMs' clocks. */
         const val MAX_CLOCK_LAG = 0.02
 
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedClients.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedClients.kt
@@ -10,6 +10,7 @@
 import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.JobStep
 import dandelionpoint.protocol.fleet.TaskRef
+import dandelionpoint.protocol.peer.JobPresence
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -34,14 +35,26 @@
     LONG(taskMs = 1_500L..<5_000L, slowShare = 0.0, deadlineMs = 8_000, maxGapMs = 600),
 }
 
-/** All clients, which submit jobs to [vms] on [queue]. */
+/** All clients, which submit jobs to [vms] on [queue] and cancel the share [cancelShare] of them at any VM. */
 internal class SimulatedClients(
     private val world: SimulationWorld,
     private val vms: List<SimulatedVm>,
     private val queue: JobQueue,
     private val resubmission: Resubmission,
     private val workload: Workload,
+    private val cancelShare: Double = 0.0,
 ) {
+    /** Jobs whose clients have begun to cancel them, and do not submit them again. */
+    private val cancelling = HashSet<String>()
+
+    /** Time at which the cancellation of each job was answered with 200 or 410, in ms. */
+    val cancelledAt = HashMap<String, Long>()
+
+    /** Called when the cancellation of a job was answered. */
+    var onCancelled: (FleetJob) -> Unit = {}
+
+    /** Cancellations by their last answer. */
+    val cancellations = HashMap<JobPresence?, Int>()
     private val slowness = HashMap<String, Int>()
     private val jobs = HashMap<String, FleetJob>()
     private var nextJob = 1
@@ -65,6 +78,7 @@
             while (world.now() < until) {
                 val job = newJob()
                 launch { submit(job) }
+                if (cancelShare > 0 && world.chance(cancelShare)) launch { cancelLater(job) }
                 delay(world.random.nextLong(MIN_GAP_MS, workload.maxGapMs))
             }
         }
@@ -82,12 +96,34 @@
         return job
     }
 
+    /** Cancels [job] some time after its last submission has arrived, again until there is a clear answer. */
+    private suspend fun cancelLater(job: FleetJob) {
+        delay(world.random.nextLong(MAX_CANCEL_DELAY_MS))
+        cancelling += job.id
+        delay(SUBMISSION_ARRIVES_MS)
+        var answer: JobPresence? = null
+        repeat(MAX_CANCELLATIONS) {
+            val vm = vms.filter { it.isUp }.randomOrNull(world.random) ?: return
+            answer = vm.cancel(job.id)
+            world.record(job.id, "cancellation at ${vm.name}: $answer")
+            if (answer == JobPresence.FOUND || answer == JobPresence.NONE) {
+                cancelledAt[job.id] = world.now()
+                onCancelled(job)
+                cancellations.merge(answer, 1, Int::plus)
+                return
+            }
+            delay(CANCEL_RETRY_MS)
+        }
+        cancellations.merge(answer, 1, Int::plus)
+    }
+
     private suspend fun submit(job: FleetJob) {
         val choices = when (resubmission) {
             Resubmission.LATER_ANYWHERE -> vms
             Resubmission.SOON_IN_DATA_CENTRE -> vms.random(world.random).let { first -> vms.filter { it.dataCentre == first.dataCentre } }
         }
         repeat(MAX_SUBMISSIONS) { number ->
+            if (job.id in cancelling) return
             val answer = submitOnce(job, number + 1, choices)
             val outcome = (answer as? ClientAnswer.Outcome)?.outcome
             if (outcome == JobOutcome.Completed) completed++
@@ -121,6 +157,12 @@
 
     private companion object {
         const val MIN_GAP_MS = 20L
+        const val MAX_CANCEL_DELAY_MS = 900L
+
+        /** By then a submission that was sent before has arrived at its VM, in ms. */
+        const val SUBMISSION_ARRIVES_MS = 70L
+        const val MAX_CANCELLATIONS = 6
+        const val CANCEL_RETRY_MS = 1_000L
         const val RESUBMIT_DELAY_MS = 1_300L
         const val MIN_SOON_MS = 24L
         const val MAX_SOON_MS = 100L
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
@@ -6,11 +6,13 @@
 import dandelionpoint.protocol.fleet.FleetJob
 import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.fleet.JobQueue
+import dandelionpoint.protocol.peer.JobPresence
 import dandelionpoint.settings.FleetSettings
 import dandelionpoint.settings.HostAndPort
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** What a client sees of its request. */
 internal sealed interface ClientAnswer {
@@ -118,10 +120,24 @@
         }
     }
 
+    /** Cancels the job [jobId] for a client that is connected to this VM only for that. Returns null if there is no answer in time. */
+    suspend fun cancel(jobId: String): JobPresence? {
+        val vm = current?.vm ?: return null
+        val answer = CompletableDeferred<JobPresence>()
+        vm.scope.launch {
+            val presence = vm.cancel(jobId)
+            world.scope.launch {
+                world.hop()
+                answer.complete(presence)
+            }
+        }
+        return withTimeoutOrNull(CANCEL_TIMEOUT_MS) { answer.await() }
+    }
+
     private fun endDisconnected(vm: FleetVm) = clients.filter { it.isClosed }.forEach { connection ->
         clients -= connection
         world.record(connection.job.id, "$name is told that the client has disconnected")
-        vm.cancel(connection.job.id)
+        vm.endSubmissions(connection.job.id)
     }
 
     companion object {
@@ -137,5 +153,8 @@
         )
 
         private const val HOST = "simulated"
+
+        /** Longest wait of a client for the answer to a cancellation, in ms. */
+        private const val CANCEL_TIMEOUT_MS = 1_600L
     }
 }
--- a/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
@@ -8,6 +8,7 @@
 import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.JobStep
 import dandelionpoint.protocol.fleet.QueueRoute
+import dandelionpoint.protocol.peer.JobPresence
 import io.kotest.assertions.nondeterministic.continually
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
@@ -34,7 +35,10 @@
 private const val DISCONNECT_ARRIVES_MS = 100L
 
 /** A service with one queue, below /q/ on host h. Each job ends with the value that [outcome] is completed with. */
-private class ScriptedService(val outcome: CompletableDeferred<JobOutcome> = CompletableDeferred()) : FleetJobService {
+private class ScriptedService(
+    val outcome: CompletableDeferred<JobOutcome> = CompletableDeferred(),
+    private val presence: JobPresence = JobPresence.NONE,
+) : FleetJobService {
     var cancelled = 0
     val started = AtomicInteger()
 
@@ -59,18 +63,16 @@
         val number = started.incrementAndGet()
         signal.onCancel {
             signalled += number
-            cancel(job.id)
+            cancelled++
+            outcome.complete(JobOutcome.GivenUp("cancelled"))
         }
         lastWaitMs = waitMs
         return outcome.await()
     }
 
-    override fun cancel(jobId: String): Boolean {
-        cancelled++
-        return outcome.complete(JobOutcome.GivenUp("cancelled"))
-    }
+    override suspend fun cancel(jobId: String) = presence
 
-    override fun hasJob(jobId: String) = false
+    override suspend fun find(jobId: String) = presence
 
     override fun waitingJobs(queue: String) = 12
 }
@@ -200,6 +202,32 @@
                 }
             }
 
+            // Guards against a cancellation that is acknowledged, or a job that is reported as unknown, without the dispatching VM's word.
+            it("that cancels a job or asks for it gets 200, 410 or 503 by what the dispatching VM has said") {
+                val statuses = mapOf(JobPresence.FOUND to 200, JobPresence.NONE to 410, JobPresence.UNKNOWN to 503)
+                statuses.forEach { (presence, status) ->
+                    withServer(ScriptedService(presence = presence)) { _, port ->
+                        Client(port).use { client ->
+                            listOf("DELETE", "GET").forEach { method ->
+                                client.send(method, "/q/$ID")
+                                val answer = client.read()
+                                answer shouldStartWith "HTTP/1.1 $status"
+                                answer.contains("Retry-After: 1") shouldBe (status == 503)
+                            }
+                        }
+                    }
+                }
+            }
+
+            it("that names an id of another form gets status 410 without a search") {
+                withServer(ScriptedService(presence = JobPresence.UNKNOWN)) { _, port ->
+                    Client(port).use { client ->
+                        client.send("DELETE", "/q/other")
+                        client.read() shouldStartWith "HTTP/1.1 410"
+                    }
+                }
+            }
+
             // Guards against a deadline that overflows to a time in the past, so that the job is refused.
             it("that waits for a time out of range gets the longest or no wait") {
                 val service = ScriptedService(CompletableDeferred(JobOutcome.Completed))
