Count the capacity of runs that are being stopped after a takeover

Cause: TrackedWorker.used counted the runs of this owner only.

Change: an untracked run uses its capacity until the worker lists it as ended or no longer lists it. A run whose demand is unknown uses the whole worker; that of a run which this owner has ordered is kept. Untracked runs also count towards the limit of a step on one worker.

A test of WorkerLeaseTest placed a run as soon as the stop of an untracked one was confirmed, which is the fault; it now checks that none is placed until the end is listed.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/RunStops.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/RunStops.kt
@@ -5,6 +5,7 @@
  */
 package dandelionpoint.coordination.fleet
 
+import dandelionpoint.protocol.fleet.Demand
 import dandelionpoint.protocol.fleet.LeaseReport
 import dandelionpoint.protocol.fleet.TaskRun
 
@@ -32,8 +33,11 @@
     }
 }
 
-/** A run in a worker's run list that this owner does not track, last listed at [listedAt], with the [stop] that was requested for it. */
-internal class UntrackedRun(val stop: StopRequest, var listedAt: Long)
+/**
+ * A run in a worker's run list that this owner does not track, last listed at [listedAt], with the [stop] that was requested for it. Its
+ * [demand] is null unless this owner has ordered it.
+ */
+internal class UntrackedRun(val stop: StopRequest, var listedAt: Long, val demand: Demand? = null)
 
 /** Makes and repeats the requests to stop runs on the workers of one cell, whose dates are those of [demand]. Not thread-safe. */
 internal class RunStops(private val rules: FleetRules, private val demand: RunDemand) {
@@ -48,7 +52,7 @@
     /** Does the same for a [run] that is not tracked and that a run list requested at [listRequestedAt] shows. */
     fun stopUntracked(worker: TrackedWorker, run: TaskRun, listRequestedAt: Long, now: Long): List<CellEvent> {
         val earlier = worker.untrackedRuns[run]
-        val untracked = earlier ?: UntrackedRun(StopRequest(now, rules), now).also { worker.untrackedRuns[run] = it }
+        val untracked = earlier ?: worker.addUntracked(run, StopRequest(now, rules), now)
         untracked.listedAt = now
         untracked.stop.onListed(listRequestedAt)
         return if (earlier == null || untracked.stop.sendAgain(now)) listOf(CellEvent.Stop(worker.entry, run)) else emptyList()
@@ -61,8 +65,9 @@
         return (tracked + untracked).map { CellEvent.Stop(worker.entry, it) }
     }
 
-    /** Forgets untracked runs that [report], the answer to a call sent at [requestedAt], no longer shows. */
+    /** Forgets untracked runs that [report], the answer to a call sent at [requestedAt], lists as ended or no longer shows. */
     fun forgetUnlisted(worker: TrackedWorker, report: LeaseReport, requestedAt: Long) {
+        report.ended.forEach { worker.untrackedRuns.remove(it.run) }
         val listed = report.running.map { it.run }.toSet()
         worker.untrackedRuns.entries.removeIf { (run, untracked) -> run !in listed && untracked.listedAt < requestedAt }
     }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -1,6 +1,7 @@
 /*
  * One worker as its cell's owner tracks it: the runs that it was ordered to start, its free capacity, clock and lease. A run occupies
- * capacity from its start order until the worker lists its end, or until the lease has expired with the clock drift allowed for.
+ * capacity from its start order until the worker lists its end, or until the lease has expired with the clock drift allowed for. This holds
+ * for runs that the owner does not track as well.
  */
 package dandelionpoint.coordination.fleet
 
@@ -81,6 +82,9 @@
     /** Started by a former owner, or by an order that was carried out after its run had been taken for lost. */
     val untrackedRuns = LinkedHashMap<TaskRun, UntrackedRun>()
 
+    /** Demands of the last runs that were taken for lost or for not started. */
+    val pastDemands = LinkedHashMap<TaskRun, Demand>()
+
     /** Highest number of an ended run that was handled; the next call acknowledges it. */
     var handledEnd = 0L
 
@@ -169,10 +173,6 @@
     /** True if the clock was read so long ago that its lower bound would make leases much shorter. */
     fun isClockStale(now: Long): Boolean = now - clockRecordedAt > rules.maxClockAgeMs
 
-    fun used(): Demand = runs.values.fold(Demand(0)) { sum, run -> sum + run.order.demand }
-
-    fun free(): Demand = entry.capacity - used()
-
     /** True if [other] is reached at this worker's current address. */
     fun hasAddressOf(other: WorkerEntry): Boolean = entry.host == other.host && entry.port == other.port
 
@@ -200,7 +200,8 @@
         runs.size < health.runLimit(now) &&
         leaseLength(now) >= rules.shortestFirstLeaseMs &&
         mayJoinLease(order, now) &&
-        (order.maxPerWorker == 0 || runs.values.count { it.order.sharesStepWith(order) } < order.maxPerWorker) &&
+        (order.maxPerWorker == 0 || runsOfStep(order) < order.maxPerWorker) &&
+        !hasRunOfUnknownDemand() &&
         free().covers(order.demand)
 
     /**
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerOutcomes.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerOutcomes.kt
@@ -11,6 +11,7 @@
 /** Ends [run]: it no longer occupies capacity. */
 internal fun TrackedWorker.end(run: TrackedRun, runEnd: RunEnd): CellEvent {
     runs.remove(run.order.task)
+    if (runEnd == RunEnd.LOST || runEnd == RunEnd.NOT_STARTED) rememberDemand(run.order)
     return CellEvent.Ended(run.order, runEnd, entry.id)
 }
 
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/WorkerLeaseTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/WorkerLeaseTest.kt
@@ -7,6 +7,7 @@
 
 import dandelionpoint.protocol.fleet.RunEnd
 import dandelionpoint.protocol.fleet.StartOutcome
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.longs.shouldBeGreaterThan
@@ -246,7 +247,10 @@
                 cell.tick(100 + RULES.stopRetryMs).stops() shouldBe listOf(order().run)
                 cell.onStopped("w", order().run, 210)
                 cell.leaseUntil("w", now = 211).shouldNotBeNull()
-                cell.place(order("b"), 211).shouldNotBeNull()
+                withClue("the run occupies the worker until its end is listed") { cell.place(order("b"), 211).shouldBeNull() }
+                val ended = listOf(order().run to RunEnd.LOST)
+                cell.onReport(checkNotNull(cell.planPoll("w", 220)), report(220, listOf(order("mine").run), ended, percent = 90), 221)
+                cell.place(order("b"), 222).shouldNotBeNull()
             }
 
             it("keeps its task from being started on any worker of the cell until it is gone, on an idle worker as well") {
