--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -93,6 +93,9 @@
     /** Answers to the latest attempts, for offers that arrive again, or only after their cancellation. */
     private val answers = ExpiringMap<AttemptKey, JobOutcome>()
 
+    /** When jobs were cancelled by their ids. Submissions that arrived earlier start nothing, also if they are offered later. */
+    private val cancelledAt = ExpiringMap<String, Long>()
+
     /**
      * Accepts or refuses a job. [poolCores] is the number of cores of the usable workers of its pool; [placer] places the tasks that can
      * start at once. The job is in progress unless the returned events contain a `Finished` for it. Idempotent: an attempt that has been
@@ -100,6 +103,9 @@
      */
     fun submit(submission: Submission, poolCores: Double, now: Long, placer: RunPlacer): List<DispatchEvent> = synchronized(lock) {
         answers[submission.attempt]?.let { return@synchronized listOf(answer(submission.job.id, setOf(submission.attempt), it, now)) }
+        if (isCancelled(submission)) {
+            return@synchronized listOf(answer(submission.job.id, setOf(submission.attempt), CANCELLED, now))
+        }
         jobs[submission.job.id]?.let { inProgress ->
             inProgress.join(submission)
             return@synchronized emptyList()
@@ -253,7 +259,7 @@
      * the runs are stopped and started again for that one. An attempt that is not known yet is refused when it arrives.
      */
     fun cancel(attempt: AttemptKey, now: Long): List<DispatchEvent> = synchronized(lock) {
-        val outcome = JobOutcome.GivenUp("cancelled")
+        val outcome = CANCELLED
         val job = jobs[attempt.jobId]?.takeIf { attempt in it.attempts }
         when {
             job != null -> {
@@ -282,6 +288,14 @@
         }
     }
 
+    /** A client has cancelled the job [jobId], whoever submitted it. Returns null if the job is not in progress here. */
+    fun cancelJob(jobId: String, now: Long): List<DispatchEvent>? = synchronized(lock) {
+        cancelledAt.put(jobId, now, now + ANSWER_KEPT_MS, now)
+        jobs[jobId]?.let { finish(it, CANCELLED, now) }
+    }
+
+    private fun isCancelled(submission: Submission): Boolean = cancelledAt[submission.job.id]?.let { submission.arrivedAt <= it } ?: false
+
     /** Answers [attempts] of [job] with [outcome], and ends the job if there are no others. */
     private fun leave(job: DispatchedJob, attempts: Set<AttemptKey>, outcome: JobOutcome, now: Long): List<DispatchEvent> {
         if (attempts.containsAll(job.attempts)) return finish(job, outcome, now)
@@ -331,6 +345,8 @@
         synchronized(lock) { jobs.values.filter { !it.hasStarted }.groupingBy { it.queue.name }.eachCount() }
 
     private companion object {
+        val CANCELLED = JobOutcome.GivenUp("cancelled")
+
         /** A scheduling pass ends when the tasks that fit on no worker have cost this much: 16 jobs or 32 runs of other VMs. */
         const val MAX_UNPLACED_COST = 32
 
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -1,6 +1,7 @@
 /*
  * One worker as its cell's owner tracks it: the runs that it was ordered to start, its free capacity, clock and lease. A run occupies
- * capacity from its start order until the worker lists its end, or until the lease has expired with the clock drift allowed for.
+ * capacity from its start order until the worker lists its end, or until the lease has expired with the clock drift allowed for. This holds
+ * for runs that the owner does not track as well.
  */
 package dandelionpoint.coordination.fleet
 
@@ -104,6 +105,9 @@
     /** Started by a former owner, or by an order that was carried out after its run had been taken for lost. */
     val untrackedRuns = LinkedHashMap<TaskRun, UntrackedRun>()
 
+    /** Demands of the last runs that were taken for lost or for not started. */
+    val pastDemands = LinkedHashMap<TaskRun, Demand>()
+
     /** Highest number of an ended run that was handled; the next call acknowledges it. */
     var handledEnd = 0L
 
@@ -199,10 +203,9 @@
     /** True if the clock was read so long ago that its lower bound would make leases much shorter. */
     fun isClockStale(now: Long): Boolean = now - clockRecordedAt > rules.maxClockAgeMs
 
+    /** Capacity that the tracked runs occupy. */
     fun used(): Demand = usedByRuns
 
-    fun free(): Demand = entry.capacity - used()
-
     /** True if [other] is reached at this worker's current address. */
     fun hasAddressOf(other: WorkerEntry): Boolean = entry.host == other.host && entry.port == other.port
 
@@ -231,7 +234,8 @@
         runs.size < health.runLimit(now) &&
         leaseLength(now) >= rules.shortestFirstLeaseMs &&
         mayJoinLease(order, now) &&
-        (order.maxPerWorker == 0 || runs.values.count { it.order.sharesStepWith(order) } < order.maxPerWorker)
+        (order.maxPerWorker == 0 || runsOfStep(order) < order.maxPerWorker) &&
+        !hasRunOfUnknownDemand()
 
     /**
      * A lease is never shortened, so a run is not started under one that reaches much further than its own demand allows, nor for a VM that
