Ask the former owner of a cell until nothing there is in use

Cause: after a handover the new owner waited for a report of the former one, and nothing else ended the wait while both lived. Two more members of the class: a worker that only the new owner knew was never released, and a former owner without jobs reported stopped jobs as open for ever, since only a scheduling pass forgot them.

Change: a report is confirmed only if it was applied. The new owner asks every 250 ms, with one message for all cells of a former owner, until nothing is in use. A former owner answers during the handover, after it, and, if it gave the cell up, once its last lease has certainly ended; a query shows it that it has lost the cell. Reports name the workers in use and the token of the new owner's claim, and are about earlier claims only, so that VMs that hand a cell to each other do not wait for each other.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -55,7 +55,9 @@
 ) {
     private val lock = Any()
     private val workers = LinkedHashMap<String, TrackedWorker>()
-    private val awaitingRelease = mutableSetOf<String>()
+
+    /** Workers that former owners of the cell may still use, null for all. */
+    private var usedByFormers: Set<String>? = emptySet()
     private var acceptsRuns = true
     private val stops = RunStops(rules, demand)
     private val leases = LeasePlanner(token, rules, areAnswersFast = { responseTimes.areFast })
@@ -67,10 +69,7 @@
     fun updateWorkers(entries: List<WorkerEntry>) = synchronized(lock) {
         entries.forEach { entry ->
             val worker = workers.getOrPut(entry.id) {
-                TrackedWorker(entry, rules, demand).also {
-                    it.isReleased =
-                        entry.id !in awaitingRelease
-                }
+                TrackedWorker(entry, rules, demand).also { it.isReleased = isReleased(entry.id) }
             }
             if (worker.hasRestarted(entry)) worker.onRestart(entry.startedAtMs)
             worker.entry = entry
@@ -81,29 +80,25 @@
         Unit
     }
 
-    /** Sends no lease calls to the workers in [ids], and starts no runs there, until the former owner of the cell has released them. */
-    fun awaitRelease(ids: Set<String>) = synchronized(lock) {
-        awaitingRelease += ids
-        ids.forEach { workers[it]?.isReleased = false }
+    /**
+     * Sends no lease calls to the workers in [ids], or to any worker if null, and starts no runs there: former owners of the cell may still
+     * use them. The other workers are released.
+     */
+    fun awaitRelease(ids: Set<String>?) = synchronized(lock) {
+        usedByFormers = ids
+        workers.values.forEach { it.isReleased = isReleased(it.entry.id) }
     }
 
-    /** The former owner has released the workers in [ids], or all of them if null. */
-    fun release(ids: Set<String>?) = synchronized(lock) {
-        if (ids == null) awaitingRelease.clear() else awaitingRelease -= ids
-        workers.values.filter { ids == null || it.entry.id in ids }.forEach { it.isReleased = true }
-    }
+    private fun isReleased(id: String): Boolean = usedByFormers?.let { id !in it } ?: false
 
     /** Accepts no more runs. */
     fun close() = synchronized(lock) { acceptsRuns = false }
 
     fun workerIds(): Set<String> = synchronized(lock) { workers.keys.toSet() }
 
-    /** Workers without runs of this owner or of a former one. */
-    fun idleWorkerIds(): Set<String> =
-        synchronized(lock) { workers.values.filter { it.runs.isEmpty() && it.isReleased }.map { it.entry.id }.toSet() }
-
-    /** True while a former owner may have runs on a worker. */
-    fun isAwaitingRelease(): Boolean = synchronized(lock) { workers.values.any { !it.isReleased } }
+    /** Workers on which runs of this owner are, or may be, in progress. */
+    fun usedWorkerIds(): Set<String> =
+        synchronized(lock) { workers.values.filter { it.runs.isNotEmpty() }.mapTo(HashSet()) { it.entry.id } }
 
     /** Incarnations of the VMs that dispatched the runs in progress. */
     val origins: Set<String> get() = synchronized(lock) {
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -269,9 +269,12 @@
     /** True if the job is in progress here. */
     fun hasJob(jobId: String): Boolean = synchronized(lock) { jobId in jobs }
 
-    /** Ids of the jobs in progress that [matches] selects, and of those whose runs are still being stopped. */
-    fun openJobs(matches: (String) -> Boolean): Set<String> =
-        synchronized(lock) { (jobs.keys + stopping.jobIds()).filterTo(HashSet(), matches) }
+    /** Ids of the jobs in progress that [matches] selects, and of those whose runs are still being stopped at [now]. */
+    fun openJobs(now: Long, matches: (String) -> Boolean): Set<String> = synchronized(lock) {
+        // A VM without jobs makes no scheduling pass, which would do this.
+        stopping.prune(now)
+        (jobs.keys + stopping.jobIds()).filterTo(HashSet(), matches)
+    }
 
     /** True if [attempt] was submitted here or cancelled, and has not been forgotten since. */
     fun has(attempt: AttemptKey): Boolean =
--- a/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
@@ -42,7 +42,7 @@
     fun gained(cell: String, token: Long, formerOwner: VmIdentity?)
 
     /** The VM [successor], null if unknown, owns [cell] now. After a [handover] this VM's runs there may continue to their end. */
-    fun lost(cell: String, successor: VmIdentity?, handover: Boolean)
+    fun lost(cell: String, successor: CellOwner?, handover: Boolean)
 
     /** Asks [successor] to take over [cell]. */
     fun offer(cell: String, successor: VmIdentity)
@@ -158,7 +158,13 @@
 
     private fun dropIfOvertaken(own: OwnClaim) {
         val rival = host.peerOwner(own.cell)
-        if (rival != null && rival.token > own.token) onClaimLost(own, rival.vm)
+        if (rival != null && rival.token > own.token) onClaimLost(own, rival)
+    }
+
+    /** [successor] asks what is in use of [cell], which it has claimed on an offer of this VM. */
+    fun onTakenOver(cell: String, successor: CellOwner) {
+        val own = claims[cell] ?: return
+        if (own.token < successor.token) onClaimLost(own, successor, isHandover = true)
     }
 
     /** Offers the cell to the VM that it is assigned to, at once if this VM is stopping and otherwise once the assignment has settled. */
@@ -198,18 +204,19 @@
                 own.storeClockOffsetMs = read.storeMs - clock.millis()
                 own.prove(sentAt, pausesBefore)
             } else {
-                onClaimLost(own, claim?.vm)
+                onClaimLost(own, claim?.let { CellOwner(it.vm, if (it.token == 0L) row.version else it.token) })
             }
         }
     }
 
-    private fun onClaimLost(own: OwnClaim, successor: VmIdentity?) {
+    private fun onClaimLost(own: OwnClaim, successor: CellOwner?, isHandover: Boolean = wasOffered(own)) {
         if (!claims.remove(own.cell, own)) return
-        val isHandover = clock.millis() - (own.offeredAt ?: NEVER) < HANDOVER_MS
-        log.info { "event=cell_lost cell=${own.cell} token=${own.token} successor=${successor?.name} handover=$isHandover" }
+        log.info { "event=cell_lost cell=${own.cell} token=${own.token} successor=${successor?.vm?.name} handover=$isHandover" }
         host.lost(own.cell, successor, isHandover)
     }
 
+    private fun wasOffered(own: OwnClaim) = clock.millis() - (own.offeredAt ?: NEVER) < HANDOVER_MS
+
     private fun requestedHandovers(): Map<String, VmIdentity?> {
         val requests = handoverRequests.keys.toList().mapNotNull { cell -> handoverRequests.remove(cell)?.let { cell to it } }
         return requests.filter { (cell, _) -> !host.isStopping && !claims.containsKey(cell) }.toMap()
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -80,11 +80,21 @@
     private val peers = PeerState(::unresponsiveMs, RemoteCapacity(settings.dataCentre, random))
     private val demand = PeerDemand(incarnation, peers.liveness, uptime)
     private val tables = FleetTables(ports, Tables(), clock, rules)
-    private val cells = OwnedCells(scope, ports.workers, Runs(), { tables.workers() }, clock, rules, demand)
+    private val cells = OwnedCells(scope, ports.workers, Runs(), { tables.workers() }, clock, rules, demand, peers.formers)
     private val dispatch = Dispatch(incarnation)
-    private val handovers =
-        CellHandovers(scope, network, cells, peers.formers, ::openJobs, { peers.liveness.isLive(it) }, clock)
+    private val handovers: CellHandovers = CellHandovers(
+        scope,
+        network,
+        cells,
+        peers.formers,
+        ::openJobs,
+        { peers.liveness.isLive(it) },
+        { cell, successor -> claims.onTakenOver(cell, successor) },
+        clock,
+        rules,
+    )
     private val runner = JobRunner(scope, dispatch, peers.remote, network, Fleet(), clock)
+    private val takeovers = CellTakeovers(scope, network, cells, peers.formers, demand::now) { runner.wake() }
     private val remoteRuns = RemoteRunServer({ cells.place(it) != null }, { cells.stopRun(it) }, clock)
     private val plan = CellPlan()
     private val unserved = UnservedDataCentres(scope, { tables.workers() }, ports.canConnect, clock)
@@ -104,7 +114,7 @@
         peers,
         admission,
         demand,
-        PeerRequestTargets(runner, remoteRuns, claims, cells, ::routeOf, ::onHeartbeat, ::configurationMessage),
+        PeerRequestTargets(runner, remoteRuns, claims, handovers, takeovers, ::routeOf, ::onHeartbeat, ::configurationMessage),
         rules,
         clock,
     )
@@ -235,7 +245,8 @@
     private fun unresponsiveMs(vm: VmIdentity): Long =
         if (vm.dataCentre == settings.dataCentre) rules.peerUnresponsiveMs else rules.farPeerUnresponsiveMs
 
-    private fun openJobs(cell: String): Set<String> = dispatch.openJobs { Cells.ofJob(settings.dataCentre, it) == cell }
+    private fun openJobs(cell: String): Set<String> =
+        dispatch.openJobs(clock.millis()) { Cells.ofJob(settings.dataCentre, it) == cell }
 
     // Callbacks from the components
 
@@ -306,14 +317,16 @@
 
         override fun gained(cell: String, token: Long, formerOwner: VmIdentity?) {
             val former = formerOwner?.takeIf { peers.liveness.isLive(it) }
-            former?.let { peers.formers.gained(cell, it, demand.now()) }
-            cells.gain(cell, token, former)
+            former?.let { peers.formers.gained(cell, token, it, demand.now()) }
+            cells.gain(cell, token)
             heartbeats.announceChange()
         }
 
-        override fun lost(cell: String, successor: VmIdentity?, handover: Boolean) {
+        override fun lost(cell: String, successor: CellOwner?, handover: Boolean) {
+            val token = cells.token(cell)
             val handedOver = cells.lose(cell, handover && successor != null)
             if (handedOver != null && successor != null) handovers.begin(handedOver, successor)
+            if (handedOver == null && token != null) handovers.abandoned(cell, token)
             heartbeats.announceChange()
         }
 
@@ -376,6 +389,7 @@
             guard.attempt("peers") { peers.liveness.removeLost(clock.millis()).forEach { peerLost(it) } }
             guard.attempt("cells") { cells.tick() }
             guard.attempt("handovers") { handovers.tick() }
+            guard.attempt("takeovers") { takeovers.tick() }
             guard.attempt("jobs") { runner.tick() }
             delay(TICK_MS)
         }
--- a/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/OwnedCells.kt
@@ -7,6 +7,7 @@
 import dandelionpoint.coordination.fleet.Cell
 import dandelionpoint.coordination.fleet.Cells
 import dandelionpoint.coordination.fleet.FleetRules
+import dandelionpoint.coordination.fleet.FormerDispatchers
 import dandelionpoint.coordination.fleet.RunDemand
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
@@ -24,7 +25,10 @@
 
 private val log = KotlinLogging.logger {}
 
-/** The cell controllers of this VM. [workers] returns the current list of workers; [demand] is that of the [Cell]s. */
+/**
+ * The cell controllers of this VM. [workers] returns the current list of workers; [demand] is that of the [Cell]s, and [formers] has what
+ * the former owners of the cells still use.
+ */
 internal class OwnedCells(
     private val scope: CoroutineScope,
     private val port: WorkerPort,
@@ -33,6 +37,7 @@
     private val clock: Clock,
     private val rules: FleetRules,
     private val demand: RunDemand,
+    private val formers: FormerDispatchers,
 ) {
     private val controllers = ConcurrentHashMap<String, CellController>()
 
@@ -41,7 +46,6 @@
 
     /** Controllers of cells that were handed over and in which runs are still in progress. A cell may be handed over several times. */
     private val handedOver = CopyOnWriteArrayList<CellController>()
-    private val formerOwners = ConcurrentHashMap<String, VmIdentity>()
 
     /** The list of workers at the last [updateWorkers], and the same by cell. */
     private var listed: List<WorkerEntry> = emptyList()
@@ -95,16 +99,12 @@
             cores.sum().coerceAtMost(Int.MAX_VALUE.toLong()).toInt()
         }
 
-    /** Takes ownership of [cell] under [token]. Workers that a [formerOwner] still uses are free once it releases them. */
-    fun gain(cell: String, token: Long, formerOwner: VmIdentity?) {
+    /** Takes ownership of [cell] under [token]. Workers that former owners still use are free once these have released them. */
+    fun gain(cell: String, token: Long) {
         val controller = CellController(scope, Cell(cell, token, rules, demand), port, listener, clock, rules)
-        val ownWorkers = workers().filter { Cells.ofWorker(it) == cell }
-        if (formerOwner != null) {
-            formerOwners[cell] = formerOwner
-            controller.cell.awaitRelease(ownWorkers.map { it.id }.toSet())
-        }
+        controller.cell.awaitRelease(formers.usedWorkers(cell, token))
         controllers.put(cell, controller)?.abandon()
-        controller.updateWorkers(ownWorkers)
+        controller.updateWorkers(workers().filter { Cells.ofWorker(it) == cell })
     }
 
     /** Another VM owns [cell] now. After a [handover] the runs there continue to their end under the old token. */
@@ -134,9 +134,9 @@
         all().forEach { it.updateWorkers(byCell[it.cell.name].orEmpty()) }
     }
 
-    /** The former owner of [cell] has no more runs on the workers [ids], or on any worker if null. */
-    fun released(cell: String, ids: Set<String>?) = all().filter { it.cell.name == cell }.forEach { controller ->
-        controller.cell.release(ids)
+    /** What the former owners of [cell] use has changed. */
+    fun updateReleased(cell: String) = all().filter { it.cell.name == cell }.forEach { controller ->
+        controller.cell.awaitRelease(formers.usedWorkers(cell, controller.cell.token))
         controller.wake()
     }
 
@@ -156,10 +156,7 @@
     /** [vm] is lost: stops the runs that it dispatched, and frees the workers that it had not released yet. */
     fun peerLost(vm: VmIdentity) {
         all().forEach { controller -> controller.stopRuns { it.origin == vm.incarnation } }
-        formerOwners.filterValues { it == vm }.keys.forEach { cell ->
-            formerOwners.remove(cell)
-            released(cell, ids = null)
-        }
+        all().mapTo(HashSet()) { it.cell.name }.forEach { updateReleased(it) }
     }
 
     /** Repeats unconfirmed stops, and ends runs whose lease has expired. */
--- a/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
@@ -7,13 +7,14 @@
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.FormerDispatchers
 import dandelionpoint.coordination.fleet.PeerLiveness
-import dandelionpoint.coordination.fleet.ReportUse
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.Submission
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.millis
 import dandelionpoint.protocol.peer.CancelAnswer
 import dandelionpoint.protocol.peer.CellHandover
+import dandelionpoint.protocol.peer.CellUse
+import dandelionpoint.protocol.peer.CellUseQuery
 import dandelionpoint.protocol.peer.FleetHeartbeat
 import dandelionpoint.protocol.peer.JobAnswer
 import dandelionpoint.protocol.peer.JobCancel
@@ -23,7 +24,6 @@
 import dandelionpoint.protocol.peer.RemoteRunRequest
 import dandelionpoint.protocol.peer.RunCancel
 import dandelionpoint.protocol.peer.VmIdentity
-import dandelionpoint.protocol.peer.WorkersReleased
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
 
@@ -55,7 +55,8 @@
     val runner: JobRunner,
     val remoteRuns: RemoteRunServer,
     val claims: CellClaims,
-    val cells: OwnedCells,
+    val handovers: CellHandovers,
+    val takeovers: CellTakeovers,
     val routeOf: (String) -> DispatchRoute,
     val onHeartbeat: (VmIdentity, FleetHeartbeat, Long) -> Unit,
     val configuration: () -> PeerMessage?,
@@ -97,7 +98,9 @@
             is PeerMessage.ConfigPull -> targets.configuration()
 
             // Without an answer, the sender repeats the report.
-            is WorkersReleased -> if (onReport(from, message, sentAt)) ReleaseAnswer else null
+            is CellUse -> if (targets.takeovers.onReport(from, message, sentAt)) ReleaseAnswer else null
+
+            is CellUseQuery -> targets.handovers.answer(from, message)
 
             is CellHandover -> {
                 if (!isExpired(from, message, sentAt, MAX_HANDOVER_AGE_MS)) targets.claims.handover(message.cell, from)
@@ -154,16 +157,6 @@
         return route
     }
 
-    /** Applies a report that [from] made on the date [sentAt] or later. Returns false if it has to be sent again. */
-    private fun onReport(from: VmIdentity, report: WorkersReleased, sentAt: Long): Boolean {
-        val use = state.formers.onReport(report.cell, from, report.openJobs, sentAt)
-        if (use == ReportUse.APPLIED) {
-            targets.cells.released(report.cell, report.workerIds)
-            targets.runner.wake()
-        }
-        return use != ReportUse.TOO_OLD
-    }
-
     private companion object {
         /** An offer of a cell that may be older is not followed: its owner would not take the loss of the cell for a handover, in ms. */
         const val MAX_HANDOVER_AGE_MS = 1_500L
--- a/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
@@ -120,14 +120,33 @@
 data class CellHandover(val cell: String) : FleetMessage
 
 /**
- * The sender has no more runs on these workers of [cell], which the receiver owns now and may use from here on. Of the jobs of the cell it
- * still has [openJobs] in progress. Repeated until it is answered by a [ReleaseAnswer], and after each change.
+ * What the sender, and the owners before it, still use of [cell], which the receiver owns under [token]: they have runs on [usedWorkers]
+ * and have [openJobs] of the cell in progress. It is about their claims under lower tokens, so that neither set grows; a worker that the
+ * sender does not know is not in use. Sent after each change, until the receiver has confirmed it by a [ReleaseAnswer].
  */
 @Serializable
-@SerialName("WorkersReleased")
-data class WorkersReleased(val cell: String, val workerIds: Set<String>, val openJobs: Set<String> = emptySet()) : FleetMessage
+@SerialName("CellUse")
+data class CellUse(
+    @SerialName("c") val cell: String,
+    @SerialName("t") val token: Long,
+    @SerialName("w") val usedWorkers: Set<String> = emptySet(),
+    @SerialName("j") val openJobs: Set<String> = emptySet(),
+) : FleetMessage
 
-/** Reply to [WorkersReleased]. */
+/** Reply to [CellUse], sent only if the receiver has applied it. */
 @Serializable
 @SerialName("ReleaseAnswer")
 data object ReleaseAnswer : FleetMessage
+
+/**
+ * The sender has taken over [cells] from the receiver, each under the given token, and does not know yet that nothing there is in use any
+ * more. Sent at a fixed interval until it does. The reply is [CellUseAnswer].
+ */
+@Serializable
+@SerialName("CellUseQuery")
+data class CellUseQuery(@SerialName("c") val cells: Map<String, Long>) : FleetMessage
+
+/** Reply to [CellUseQuery]. It lacks the cells of which the sender does not know yet what is in use. */
+@Serializable
+@SerialName("CellUseAnswer")
+data class CellUseAnswer(@SerialName("r") val reports: List<CellUse>) : FleetMessage
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/CellTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/CellTest.kt
@@ -72,9 +72,22 @@
                 cell.awaitRelease(setOf("w"))
                 cell.updateWorkers(listOf(worker("w")))
                 cell.planLease("w", 0).shouldBeNull()
-                cell.release(setOf("w"))
+                cell.awaitRelease(emptySet())
                 cell.planLease("w", 1).shouldNotBeNull()
             }
+
+            // The list of workers of either VM may be behind, so that one knows a worker that the other one does not.
+            it("is assigned on a worker that the former owner does not know, once that has reported what it uses") {
+                val cell = Cell("akl-a", TOKEN)
+                cell.awaitRelease(null)
+                cell.updateWorkers(listOf(worker("used"), worker("unknown")))
+                cell.planLease("unknown", 0).shouldBeNull()
+                cell.awaitRelease(setOf("used"))
+                cell.updateWorkers(listOf(worker("used"), worker("unknown"), worker("later")))
+                cell.planLease("used", 1).shouldBeNull()
+                cell.planLease("unknown", 1).shouldNotBeNull()
+                cell.planLease("later", 1).shouldNotBeNull()
+            }
         }
 
         describe("a task that failed on a worker") {
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/DispatchTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/DispatchTest.kt
@@ -56,6 +56,18 @@
                 placer.placed.map { it.task.step } shouldBe listOf(0, 1)
             }
 
+            // A VM that has handed its cells over gets no jobs, and makes no scheduling pass that would forget the runs.
+            it("is not open any more once its runs have been stopped, also if the VM has no other job") {
+                val dispatch = Dispatch(ORIGIN)
+                val placer = FakePlacer(1)
+                val submission = submission(job("a", tasks = 1))
+                dispatch.submit(submission, CORES, 0, placer)
+                dispatch.cancel(submission.attempt, 10)
+                dispatch.openJobs(11) { true } shouldBe setOf("a")
+                dispatch.onRunEnd(placer.placed[0].key, RunEnd.LOST, "w", 20)
+                dispatch.openJobs(21) { true }.shouldBeEmpty()
+            }
+
             // A waiting task would not be placed when another VM reports free capacity.
             it("has waiting tasks while one of them has no run, whatever the reason") {
                 val dispatch = Dispatch(ORIGIN)
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/JobOwnershipTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/JobOwnershipTest.kt
@@ -1,5 +1,6 @@
 package dandelionpoint.coordination.fleet
 
+import dandelionpoint.protocol.peer.CellUse
 import dandelionpoint.protocol.peer.VmIdentity
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldBeNull
@@ -11,6 +12,11 @@
 private val OWNER = VmIdentity("owner", "incarnation-owner", "north", DATA_CENTRE, "127.0.0.1", 1)
 private val RIVAL = VmIdentity("rival", "incarnation-rival", "north", DATA_CENTRE, "127.0.0.1", 2)
 
+private const val TOKEN = 5L
+
+/** A report of the former owner of [CELL], which has [openJobs] in progress. */
+private fun use(vararg openJobs: String) = CellUse(CELL, TOKEN, openJobs = openJobs.toSet())
+
 private class VmUnderTest(var token: Long? = null, var successor: VmIdentity? = null) : CellView {
     val directory = CellDirectory()
     val formers = FormerDispatchers()
@@ -57,36 +63,36 @@
 
         describe("after a handover") {
             it("the new owner dispatches nothing before the former one has told which jobs it has in progress") {
-                val vm = VmUnderTest(token = 5)
-                vm.formers.gained(CELL, OWNER, now = 0)
+                val vm = VmUnderTest(token = TOKEN)
+                vm.formers.gained(CELL, TOKEN, OWNER, now = 0)
                 vm.route() shouldBe DispatchRoute.Undecided
-                vm.formers.onReport(CELL, OWNER, setOf(JOB_ID), sentAt = 1)
+                vm.formers.onReport(OWNER, use(JOB_ID), sentAt = 1)
                 vm.route() shouldBe DispatchRoute.At(OWNER)
-                vm.formers.onReport(CELL, OWNER, emptySet(), sentAt = 2)
+                vm.formers.onReport(OWNER, use(), sentAt = 2)
                 vm.route() shouldBe DispatchRoute.Here
             }
 
             it("a report of another VM than the former owner counts for nothing") {
-                val vm = VmUnderTest(token = 5)
-                vm.formers.gained(CELL, OWNER, now = 0)
-                vm.formers.onReport(CELL, RIVAL, emptySet(), sentAt = 1)
+                val vm = VmUnderTest(token = TOKEN)
+                vm.formers.gained(CELL, TOKEN, OWNER, now = 0)
+                vm.formers.onReport(RIVAL, use(), sentAt = 1)
                 vm.route() shouldBe DispatchRoute.Undecided
                 vm.formers.openJobs(CELL).shouldBeNull()
             }
 
             // Its sender may have owned the cell again since, and have further jobs and runs there.
             it("a report that may have been made before the cell was taken over counts for nothing, and is to be sent again") {
-                val vm = VmUnderTest(token = 5)
-                vm.formers.gained(CELL, OWNER, now = 100)
-                vm.formers.onReport(CELL, OWNER, emptySet(), sentAt = 99) shouldBe ReportUse.TOO_OLD
+                val vm = VmUnderTest(token = TOKEN)
+                vm.formers.gained(CELL, TOKEN, OWNER, now = 100)
+                vm.formers.onReport(OWNER, use(), sentAt = 99) shouldBe ReportUse.TOO_OLD
                 vm.route() shouldBe DispatchRoute.Undecided
-                vm.formers.onReport(CELL, OWNER, emptySet(), sentAt = 100) shouldBe ReportUse.APPLIED
+                vm.formers.onReport(OWNER, use(), sentAt = 100) shouldBe ReportUse.APPLIED
                 vm.route() shouldBe DispatchRoute.Here
             }
 
             it("the loss of the former owner ends the wait, since its jobs have ended with it") {
-                val vm = VmUnderTest(token = 5)
-                vm.formers.gained(CELL, OWNER, now = 0)
+                val vm = VmUnderTest(token = TOKEN)
+                vm.formers.gained(CELL, TOKEN, OWNER, now = 0)
                 vm.formers.peerLost(OWNER)
                 vm.route() shouldBe DispatchRoute.Here
             }
--- a/src/test/kotlin/dandelionpoint/fleet/CellClaimsTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/CellClaimsTest.kt
@@ -62,7 +62,7 @@
             owned[cell] = token
         }
 
-        override fun lost(cell: String, successor: VmIdentity?, handover: Boolean) {
+        override fun lost(cell: String, successor: CellOwner?, handover: Boolean) {
             owned.remove(cell)
         }
 
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedCalls.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedCalls.kt
@@ -95,22 +95,59 @@
         world.exchange(timeoutMs, faults) { workerOf(worker.id).lease(call) } ?: LeaseOutcome.NoAnswer("lost")
 }
 
-/** The shared store [rows] as a VM calls it. */
-internal class SimulatedStore(private val world: SimulationWorld, private val rows: SharedRows) : SharedRows {
+/** Present faults of the path between each VM and the shared store. */
+internal class StoreFaults(private val world: SimulationWorld) {
+    private val cutUntil = HashMap<String, Long>()
+
+    /** Longest wait of a VM for an answer of the store, in ms. */
+    var timeoutMs = DEFAULT_TIMEOUT_MS
+
+    /** Called with the name of the VM when the store has applied one of its claims, before the answer leaves. */
+    var onClaim: (String) -> Unit = {}
+
+    /** Carries nothing between the VM [vm] and the store for [ms]; what is under way arrives afterwards. */
+    fun cut(vm: String, ms: Long) {
+        cutUntil.merge(vm, world.now() + ms, ::maxOf)
+    }
+
+    suspend fun awaitPath(vm: String) {
+        while (world.now() < (cutUntil[vm] ?: 0L)) delay(cutUntil.getValue(vm) - world.now() + world.hopMs())
+    }
+
+    private companion object {
+        const val DEFAULT_TIMEOUT_MS = 500L
+    }
+}
+
+/** The shared store [rows] as the VM [vm] calls it. */
+internal class SimulatedStore(
+    private val world: SimulationWorld,
+    private val rows: SharedRows,
+    private val vm: String,
+    private val faults: StoreFaults,
+) : SharedRows {
     override suspend fun read(table: String, from: String, to: String): Either<StoreError, RowsRead> =
-        world.exchange(TIMEOUT_MS, null) { rows.read(table, from, to) } ?: LOST.left()
+        exchange { rows.read(table, from, to) } ?: LOST.left()
 
     override suspend fun changes(table: String, version: Long, waitMs: Long): Either<StoreError, RowChanges> =
-        world.exchange(waitMs + TIMEOUT_MS, null) { rows.changes(table, version, waitMs) } ?: LOST.left()
+        exchange(waitMs) { rows.changes(table, version, waitMs) } ?: LOST.left()
 
     override suspend fun write(table: String, key: String, value: ByteArray?, expected: Long?): Either<StoreError, WriteResult> =
-        world.exchange(TIMEOUT_MS, null) { rows.write(table, key, value, expected) } ?: LOST.left()
+        exchange { rows.write(table, key, value, expected) } ?: LOST.left()
+
+    override suspend fun writeAll(table: String, writes: List<RowWrite>): Either<StoreError, WriteResult> = exchange {
+        rows.writeAll(table, writes).also { if (it.getOrNull() is WriteResult.Written && writes.any(::isClaim)) faults.onClaim(vm) }
+    } ?: LOST.left()
 
-    override suspend fun writeAll(table: String, writes: List<RowWrite>): Either<StoreError, WriteResult> =
-        world.exchange(TIMEOUT_MS, null) { rows.writeAll(table, writes) } ?: LOST.left()
+    /** A claim contains its token only from the first renewal on. */
+    private fun isClaim(write: RowWrite) = write.value?.decodeToString()?.contains("\"token\":0") == true
+
+    private suspend fun <T> exchange(waitMs: Long = 0, action: suspend () -> T): T? = world.exchange(waitMs + faults.timeoutMs, null) {
+        faults.awaitPath(vm)
+        action().also { faults.awaitPath(vm) }
+    }
 
     private companion object {
-        const val TIMEOUT_MS = 500L
         val LOST = StoreError.OutcomeUnknown("no answer")
     }
 }
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedClients.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedClients.kt
@@ -82,6 +82,16 @@
         return job
     }
 
+    /**
+     * Submits [job], which takes [slowFactor] times its estimate, once to [vm]. Returns its outcome, or null if the connection broke or
+     * there was none within the time that clients wait.
+     */
+    suspend fun submitOnce(job: FleetJob, vm: SimulatedVm, slowFactor: Int = 1): JobOutcome? {
+        jobs[job.id] = job
+        slowness[job.id] = slowFactor
+        return (submitOnce(job, 1, listOf(vm)) as? ClientAnswer.Outcome)?.outcome
+    }
+
     private suspend fun submit(job: FleetJob) {
         val choices = when (resubmission) {
             Resubmission.LATER_ANYWHERE -> vms
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedConnection.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedConnection.kt
@@ -33,12 +33,13 @@
     fun transportAt(end: ConnectionEnd): SimulatedTransport = if (end == ConnectionEnd.CLIENT) client else server
 
     /**
-     * Carries a message from the end [from] to the other one, where [onArrival] is called. A message that is under way during a cut or
-     * while the connection is silent arrives afterwards; it is lost if the connection is reset or the other end is closed by then.
+     * Carries a message from the end [from] to the other one, where [onArrival] is called, [extraMs] later than usual. A message that is
+     * under way during a cut or while the connection is silent arrives afterwards; it is lost if the connection is reset or the other end
+     * is closed by then.
      */
-    fun transmit(from: ConnectionEnd, onArrival: () -> Unit) {
+    fun transmit(from: ConnectionEnd, extraMs: Long = 0, onArrival: () -> Unit) {
         world.scope.launch {
-            world.hop()
+            delay(world.hopMs() + extraMs)
             awaitPath(from)
             if (!isReset && from.other !in closed) onArrival()
         }
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedNetwork.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedNetwork.kt
@@ -1,12 +1,15 @@
 /* The network between simulated VMs: which processes listen, which connections are open and which paths are cut. */
 package dandelionpoint.fleet.simulation
 
+import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.RemoteRunRequest
 import dandelionpoint.protocol.peer.VmIdentity
 import dandelionpoint.transport.peer.PeerAddress
 
 /** All VMs and their connections. [onRemoteRun] is called for each request for a remote run that is sent. */
 internal class SimulatedNetwork(val world: SimulationWorld, val onRemoteRun: (VmIdentity, VmIdentity, RemoteRunRequest) -> Unit) {
+    /** Extra delay in ms of each copy of a message that the first VM sends to the second one; no copy if the message is lost. */
+    var copies: (from: String, to: String, message: PeerMessage) -> List<Long> = { _, _, _ -> listOf(0L) }
     private val listening = LinkedHashMap<PeerAddress, SimulatedTransport>()
 
     /** Names of the VMs whose process has ended while their machine runs, by their addresses. */
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
@@ -89,13 +89,21 @@
     }
 
     /**
-     * Sends a frame from the end [from] of [connection], at which this VM is. The receiver calls [onRead] with the date at
+     * Sends a frame with [message] from the end [from] of [connection], at which this VM is. The receiver calls [onRead] with the date at
      * or after which the frame was made.
      */
-    private fun send(connection: SimulatedConnection, from: ConnectionEnd, onRead: suspend (sentAt: Long) -> Unit) {
+    private fun send(
+        connection: SimulatedConnection,
+        from: ConnectionEnd,
+        message: PeerMessage? = null,
+        onRead: suspend (sentAt: Long) -> Unit,
+    ) {
         val receiver = connection.transportAt(from.other)
         val times = stamps.timesFor(receiver.self.incarnation)
-        connection.transmit(from) { receiver.launch { onRead(receiver.stamps.onRead(self.incarnation, times)) } }
+        val copies = if (message == null) listOf(0L) else network.copies(name, receiver.name, message)
+        copies.forEach { extraMs ->
+            connection.transmit(from, extraMs) { receiver.launch { onRead(receiver.stamps.onRead(self.incarnation, times)) } }
+        }
     }
 
     private fun accept(connection: SimulatedConnection, from: PeerAddress) {
@@ -114,7 +122,7 @@
         if (message is RemoteRunRequest) network.onRemoteRun(self, to, message)
         val call = connection.openCall()
         deliver(connection, message) { reply ->
-            if (reply != null) connection.server.send(connection, ConnectionEnd.SERVER) { call.complete(PeerReply.Answered(reply)) }
+            if (reply != null) connection.server.send(connection, ConnectionEnd.SERVER, reply) { call.complete(PeerReply.Answered(reply)) }
         }
         val reply = withTimeoutOrNull(timeoutMs) { call.await() }
         connection.endCall(call)
@@ -129,7 +137,7 @@
     private fun deliver(connection: SimulatedConnection, message: PeerMessage, onReply: (PeerMessage?) -> Unit) {
         val receiver = connection.server
         record(message, "sent by $name to ${receiver.name}")
-        send(connection, ConnectionEnd.CLIENT) { sentAt ->
+        send(connection, ConnectionEnd.CLIENT, message) { sentAt ->
             record(message, "read by ${receiver.name}")
             onReply(receiver.handler(self, message, sentAt))
         }
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** What a client sees of its request. */
 internal sealed interface ClientAnswer {
@@ -87,6 +88,21 @@
         clients.clear()
     }
 
+    /** Stops the process as planned, as [dandelionpoint.cli.FleetCommand] does, and starts it again after [downMs]. */
+    fun stop(downMs: Long) {
+        val stopped = current ?: return
+        stopped.vm.scope.launch {
+            stopped.vm.drain { openClients.size }
+            withTimeoutOrNull(FINISH_TIMEOUT_MS) { while (openClients.isNotEmpty()) delay(FINISH_POLL_MS) }
+            world.scope.launch {
+                if (current !== stopped) return@launch
+                kill(isMachineLost = false)
+                delay(downMs)
+                start()
+            }
+        }
+    }
+
     /** Pauses the process for [ms], unless it ends before. */
     fun pause(ms: Long) {
         val paused = current ?: return
@@ -136,6 +152,9 @@
             store = HostAndPort(HOST, 1),
         )
 
+        /** How long a stopping process waits for requests that are left, in ms. */
+        private const val FINISH_TIMEOUT_MS = 400L
+        private const val FINISH_POLL_MS = 10L
         private const val HOST = "simulated"
     }
 }
