Handle SIGHUP from the first statement on

Change: it is installed by the first statement of main, and a request that comes during the start is kept. The planned stop is installed before the first client is served.

--- a/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
@@ -15,14 +15,12 @@
 import kotlinx.coroutines.runBlocking
 import picocli.CommandLine.Command
 import picocli.CommandLine.Parameters
-import sun.misc.Signal
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
 import java.nio.file.attribute.FileTime
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
-import java.util.concurrent.atomic.AtomicBoolean
 
 private val log = KotlinLogging.logger {}
 
@@ -60,12 +58,8 @@
         val clients = PlatformClients(vm, vm.scope, settings.clients.listen(), settings.readiness?.listen())
         runBlocking { vm.start() }
         vm.pollClients = clients::poll
-        clients.start()
-        // SIGHUP requests a reload of the settings. Without a handler it would end the JVM.
-        val isReloadRequested = AtomicBoolean()
-        Signal.handle(Signal("HUP")) { isReloadRequested.set(true) }
-        vm.scope.launch { watchSettings(path, vm, isReloadRequested) }
-        stopOnSignal(vm, clients)
+        startClients(vm, clients)
+        vm.scope.launch { watchSettings(path, vm) }
         CountDownLatch(1).await()
         ExitCode.OK
     } catch (e: IOException) {
@@ -73,13 +67,29 @@
         ExitCode.REFUSED
     }
 
+    /**
+     * Installs the planned stop before the first client is served. A SIGTERM before that ends the process at once, with the same exit code;
+     * so does a failure to start.
+     */
+    private fun startClients(vm: FleetVm, clients: PlatformClients) {
+        val stop = stopHook(vm, clients)
+        Runtime.getRuntime().addShutdownHook(stop)
+        var hasStarted = false
+        try {
+            clients.start()
+            hasStarted = true
+        } finally {
+            if (!hasStarted) Runtime.getRuntime().removeShutdownHook(stop)
+        }
+    }
+
     /** Reloads the settings after SIGHUP and whenever the file's modification time has changed. */
-    private suspend fun watchSettings(path: Path, vm: FleetVm, isReloadRequested: AtomicBoolean) {
+    private suspend fun watchSettings(path: Path, vm: FleetVm) {
         var lastModified = modifiedAt(path)
         while (true) {
             delay(SETTINGS_POLL_INTERVAL_MS)
             val now = modifiedAt(path)
-            if (!isReloadRequested.getAndSet(false) && now == lastModified) continue
+            if (!ReloadSignal.take() && now == lastModified) continue
             lastModified = now
             when (val read = SettingsReader.readFleet(path)) {
                 is Either.Left -> log.warn { "event=settings_refused faults=\"${read.value.joinToString()}\"" }
@@ -97,15 +107,12 @@
 
     private fun HostAndPort.listen() = ListenAddress(host, port)
 
-    private fun stopOnSignal(vm: FleetVm, clients: PlatformClients) {
-        val hook = Thread {
-            runBlocking {
-                vm.drain { clients.open() }
-                clients.finish(FINISH_TIMEOUT_MS)
-            }
-            vm.close()
+    private fun stopHook(vm: FleetVm, clients: PlatformClients) = Thread {
+        runBlocking {
+            vm.drain { clients.open() }
+            clients.finish(FINISH_TIMEOUT_MS)
         }
-        Runtime.getRuntime().addShutdownHook(hook)
+        vm.close()
     }
 
     companion object {
--- a/src/main/kotlin/dandelionpoint/cli/Main.kt
+++ b/src/main/kotlin/dandelionpoint/cli/Main.kt
@@ -6,6 +6,7 @@
 import kotlin.system.exitProcess
 
 fun main(vararg arguments: String) {
+    if (arguments.firstOrNull() == FleetCommand.NAME) ReloadSignal.install()
     // The library would print the message to stdout, where callers expect only the JSON output of the commands.
     KotlinLoggingConfiguration.logStartupMessage = false
     val fleet = plainFleetCommand(arguments)
