Refuse jobs that a stopping VM cannot end, and answer those that are left

The end also closed connections whose request was being read.

What is left then is ended and answered. A connection is busy from its request's headers to the written answer (OpenRequests).

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
@@ -63,7 +63,7 @@
         job.steps.mapIndexed { number, step -> List(step.count) { index -> DispatchedTask(TaskRef(job.id, number, index)) } }
 
     /** Time from [arrivedAt] within which the job has to end to be on time, in ms. */
-    val objectiveMs: Long = (queue.stretch * longestChainMs()).toLong() + queue.latencyTargetMs
+    val objectiveMs: Long = (queue.stretch * job.longestChainMs()).toLong() + queue.latencyTargetMs
 
     /** True once a run of the job may have been started. */
     var hasStarted = false
@@ -87,16 +87,7 @@
     }
 
     /** Length of the longest chain of dependent steps that are not done, in ms by the client's estimates. */
-    fun remainingChainMs(): Long = longestChainMs { step -> tasks[step].any { !it.isDone } }
-
-    private fun longestChainMs(isCounted: (Int) -> Boolean = { true }): Long {
-        val ends = LongArray(job.steps.size)
-        job.steps.forEachIndexed { index, step ->
-            val begin = step.after.maxOfOrNull { ends[it] } ?: 0L
-            ends[index] = begin + if (isCounted(index)) step.estimateMs else 0L
-        }
-        return ends.maxOrNull() ?: 0L
-    }
+    fun remainingChainMs(): Long = job.longestChainMs { step -> tasks[step].any { !it.isDone } }
 
     /** The order for the next run of [task], dispatched by the VM with the incarnation [origin]. */
     fun nextOrder(task: DispatchedTask, origin: String): RunOrder {
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -15,6 +15,7 @@
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.JobOwnership
 import dandelionpoint.coordination.fleet.PauseDetector
+import dandelionpoint.coordination.fleet.PlannedStop
 import dandelionpoint.coordination.fleet.ProcessPause
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
@@ -114,7 +115,17 @@
         peers,
         admission,
         demand,
-        PeerRequestTargets(runner, remoteRuns, claims, handovers, takeovers, ::routeOf, ::onHeartbeat, ::configurationMessage),
+        PeerRequestTargets(
+            runner,
+            remoteRuns,
+            claims,
+            handovers,
+            takeovers,
+            ::routeOf,
+            ::stopRefusal,
+            ::onHeartbeat,
+            ::configurationMessage,
+        ),
         rules,
         clock,
     )
@@ -126,9 +137,11 @@
     @Volatile
     var pollClients: () -> Unit = {}
 
+    /** The planned stop of this VM, null before it is requested. */
     @Volatile
-    override var isStopping = false
-        private set
+    private var plannedStop: PlannedStop? = null
+
+    override val isStopping: Boolean get() = plannedStop != null
 
     private inner class Connections : PeerEvents {
         override fun connected(vm: VmIdentity) = Unit
@@ -218,10 +231,12 @@
     override fun route(host: String, path: String): QueueRoute? = tables.configuration?.route(host, path)
 
     override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long, signal: CancellationSignal): JobOutcome {
-        val refusal = admission.refuseClient()
+        val refusal = admission.refuseClient() ?: stopRefusal(job, waitMs)
         return if (refusal != null && !forwarder.has(job.id)) refusal else forwarder.run(job, queue, waitMs, signal)
     }
 
+    private fun stopRefusal(job: FleetJob, waitMs: Long): JobOutcome? = plannedStop?.refusal(job, waitMs, clock.millis())
+
     override fun cancel(jobId: String): Boolean = forwarder.cancel(jobId)
 
     override fun hasJob(jobId: String): Boolean = forwarder.has(jobId)
@@ -245,8 +260,7 @@
     private fun unresponsiveMs(vm: VmIdentity): Long =
         if (vm.dataCentre == settings.dataCentre) rules.peerUnresponsiveMs else rules.farPeerUnresponsiveMs
 
-    private fun openJobs(cell: String): Set<String> =
-        dispatch.openJobs(clock.millis()) { Cells.ofJob(settings.dataCentre, it) == cell }
+    private fun openJobs(cell: String): Set<String> = dispatch.openJobs(clock.millis()) { Cells.ofJob(settings.dataCentre, it) == cell }
 
     // Callbacks from the components
 
@@ -420,18 +434,28 @@
 
     // Planned stop
 
-    /** Planned stop: hands the cells over and returns when no job, run or request ([openRequests]) is left or the grace period is over. */
+    /**
+     * Planned stop: hands the cells over and returns when no job, run or request ([openRequests]) is left, or shortly before the end of the
+     * grace period, when the jobs that are left have been ended so that their clients get an answer.
+     */
     suspend fun drain(openRequests: () -> Int) {
-        isStopping = true
         val begin = clock.millis()
+        val stop = PlannedStop(begin + (settings.graceSeconds * MS_PER_S).toLong() - EXIT_MARGIN_MS)
+        plannedStop = stop
         log.info { "event=stopping open=${openRequests()} jobs=${dispatch.size()}" }
         heartbeats.announceChange()
-        val latest = begin + (settings.graceSeconds * MS_PER_S).toLong() - EXIT_MARGIN_MS
-        delay(LOAD_BALANCER_DELAY_MS)
-        while (clock.millis() < latest && openRequests() + dispatch.size() + cells.runCount() > 0) delay(TICK_MS)
+        delay(minOf(LOAD_BALANCER_DELAY_MS, stop.endsAt - begin))
+        while (clock.millis() < stop.endsAt && openRequests() + dispatch.size() + cells.runCount() > 0) delay(TICK_MS)
+        endJobs("the VM stops")
         log.info { "event=stopped open=${openRequests()} jobs=${dispatch.size()} after_ms=${clock.millis() - begin}" }
     }
 
+    /** Ends the jobs that are dispatched here, and those of this VM's clients that are dispatched elsewhere. */
+    private fun endJobs(reason: String) {
+        runner.endAll(reason)
+        forwarder.cancelAll()
+    }
+
     fun close() {
         network.close()
         scope.cancel()
--- a/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobForwarder.kt
@@ -150,6 +150,9 @@
         return ofJob.isNotEmpty()
     }
 
+    /** Ends all attempts in progress, so that their clients are answered. */
+    fun cancelAll() = attempts.values.forEach { cancel(it) }
+
     private fun cancel(attempt: Attempt) {
         attempt.isCancelled = true
         log.info { "event=job_cancelled job=${attempt.key.jobId} dispatcher=${attempt.dispatcher?.name}" }
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -216,7 +216,10 @@
     }
 
     /** Ends all jobs, because this process was paused for so long that its peers have declared the VM lost. */
-    fun onProcessPause(pauseMs: Long) = handle(dispatch.cancelAll("the VM process was paused for $pauseMs ms", clock.millis()))
+    fun onProcessPause(pauseMs: Long) = endAll("the VM process was paused for $pauseMs ms")
+
+    /** Ends all jobs for [reason]. */
+    fun endAll(reason: String) = handle(dispatch.cancelAll(reason, clock.millis()))
 
     /** Capacity may have become free, here or at another VM: makes the loop try to place waiting tasks. */
     fun onCapacity() {
--- a/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
@@ -10,6 +10,8 @@
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.Submission
 import dandelionpoint.protocol.Clock
+import dandelionpoint.protocol.fleet.FleetJob
+import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.millis
 import dandelionpoint.protocol.peer.CancelAnswer
 import dandelionpoint.protocol.peer.CellHandover
@@ -58,6 +60,8 @@
     val handovers: CellHandovers,
     val takeovers: CellTakeovers,
     val routeOf: (String) -> DispatchRoute,
+    /** The refusal of a job whose client waits for a time in ms, null unless this VM stops before the job has ended. */
+    val stopRefusal: (FleetJob, Long) -> JobOutcome?,
     val onHeartbeat: (VmIdentity, FleetHeartbeat, Long) -> Unit,
     val configuration: () -> PeerMessage?,
 )
@@ -137,7 +141,7 @@
         val submission =
             Submission(offer.job, offer.queue, from.incarnation, now - offer.ageMs, now + offer.remainingMs, offer.attempt)
         if (targets.runner.has(submission.attempt)) return JobAnswer(targets.runner.run(submission))
-        if (isExpired(from, offer, sentAt, rules.maxRequestAgeMs)) return JobAnswer()
+        if (isExpired(from, offer, sentAt, rules.maxRequestAgeMs) || isTooLate(offer)) return JobAnswer()
         if (!admission.acceptsOffer(offer.ageMs + demand.now() - sentAt)) return JobAnswer()
         return when (val route = decidedRoute(offer.job.id)) {
             DispatchRoute.Here -> JobAnswer(targets.runner.run(submission))
@@ -146,6 +150,9 @@
         }
     }
 
+    /** True if this VM stops, and the offered job may not end before its process does. */
+    private fun isTooLate(offer: JobOffer): Boolean = targets.stopRefusal(offer.job, offer.remainingMs) != null
+
     /** The route of a job, after a short wait if a former owner of its cell has not reported yet whether it has the job. */
     private suspend fun decidedRoute(jobId: String): DispatchRoute {
         val latest = clock.millis() + MAX_REPORT_WAIT_MS
--- a/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
@@ -6,6 +6,7 @@
 import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.fleet.QueueRoute
 import dandelionpoint.transport.http.ClientDisconnectMonitor
+import dandelionpoint.transport.http.OpenRequests
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.javalin.Javalin
 import io.javalin.http.Context
@@ -32,6 +33,7 @@
     private val readiness: ListenAddress?,
 ) {
     private val watch = ClientDisconnectMonitor()
+    private val openRequests = OpenRequests()
 
     private val server: Javalin = Javalin.create { config ->
         config.startup.showJavalinBanner = false
@@ -41,6 +43,7 @@
         config.http.maxRequestSize = MAX_BODY_BYTES
         config.jetty.threadPool = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
         config.jetty.modifyHttpConfiguration { it.sendServerVersion = false }
+        config.jetty.modifyServer { it.insertHandler(openRequests) }
         readiness?.let { address ->
             config.jetty.addConnector { server, _ ->
                 ServerConnector(server, 1, 1, HttpConnectionFactory(HttpConfiguration())).apply {
@@ -84,9 +87,10 @@
         connectors.forEach { it.close() }
         val latest = System.nanoTime() + waitMs * NANOS_PER_MS
         do {
-            connectors.flatMap { it.connectedEndPoints }.filterNot { watch.isBusy(it) }.forEach { it.close() }
+            val (busy, idle) = connectors.flatMap { it.connectedEndPoints }.partition { openRequests.isBusy(it) }
+            idle.forEach { it.close() }
             delay(FINISH_POLL_MS)
-        } while (open() > 0 && System.nanoTime() < latest)
+        } while (busy.isNotEmpty() && System.nanoTime() < latest)
     }
 
     fun stop() {
--- a/src/main/kotlin/dandelionpoint/transport/http/ClientDisconnectMonitor.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/ClientDisconnectMonitor.kt
@@ -7,7 +7,6 @@
 
 import jakarta.servlet.http.HttpServletRequest
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest
-import org.eclipse.jetty.io.EndPoint
 import java.io.IOException
 import java.nio.ByteBuffer
 import java.nio.channels.SocketChannel
@@ -65,9 +64,6 @@
     /** Number of requests in progress. */
     fun open(): Int = entries.size
 
-    /** True if a request on [endPoint] is in progress. */
-    fun isBusy(endPoint: EndPoint): Boolean = entries.any { it.channel != null && it.channel == endPoint.transport }
-
     private companion object {
         const val END_OF_STREAM = -1
     }
--- a/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
@@ -33,6 +33,9 @@
 /** By then the end of a closed connection has arrived over loopback. */
 private const val DISCONNECT_ARRIVES_MS = 100L
 
+/** By then a server has read the headers of a request, in ms. */
+private const val READ_MS = 200L
+
 /** A service with one queue, below /q/ on host h. Each job ends with the value that [outcome] is completed with. */
 private class ScriptedService(val outcome: CompletableDeferred<JobOutcome> = CompletableDeferred()) : FleetJobService {
     var cancelled = 0
@@ -143,6 +146,26 @@
             }
         }
 
+        describe("a request that is being handled when a planned stop ends") {
+            it("is answered although it is not known to be a job yet") {
+                val service = ScriptedService(CompletableDeferred(JobOutcome.NotRun("stopping", 1_000)))
+                service.isReadable = CompletableFuture()
+                withServer(service) { server, port ->
+                    Client(port).use { client ->
+                        client.post()
+                        delay(READ_MS)
+                        coroutineScope {
+                            val finishing = async(Dispatchers.Default) { server.finish(waitMs = 3_000) }
+                            delay(READ_MS)
+                            service.isReadable.complete(Unit)
+                            client.read() shouldStartWith "HTTP/1.1 503"
+                            finishing.await()
+                        }
+                    }
+                }
+            }
+        }
+
         describe("a client") {
             it("that disconnects has its job cancelled") {
                 val service = ScriptedService()
