--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -16,6 +16,7 @@
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.JobOwnership
 import dandelionpoint.coordination.fleet.PauseDetector
+import dandelionpoint.coordination.fleet.PlannedStop
 import dandelionpoint.coordination.fleet.ProcessPause
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
@@ -84,12 +85,22 @@
     private val demand = PeerDemand(incarnation, peers.liveness, uptime)
     private val tables = FleetTables(ports, Tables(), clock, rules)
     private val peerConfiguration = PeerConfiguration(scope, network, { tables.configurationVersion }, tables::applyConfiguration)
-    private val cells = OwnedCells(scope, ports.workers, Runs(), { tables.workers() }, clock, rules, demand)
+    private val cells = OwnedCells(scope, ports.workers, Runs(), { tables.workers() }, clock, rules, demand, peers.formers)
     private val waitingRuns = WaitingRuns()
     private val dispatch = Dispatch(incarnation, waitingRuns = waitingRuns)
-    private val handovers =
-        CellHandovers(scope, network, cells, peers.formers, ::openJobs, { peers.liveness.isLive(it) }, clock)
+    private val handovers: CellHandovers = CellHandovers(
+        scope,
+        network,
+        cells,
+        peers.formers,
+        ::openJobs,
+        { peers.liveness.isLive(it) },
+        { cell, successor -> claims.onTakenOver(cell, successor) },
+        clock,
+        rules,
+    )
     private val runner = JobRunner(scope, dispatch, peers.remote, network, Fleet(), clock)
+    private val takeovers = CellTakeovers(scope, network, cells, peers.formers, demand::now) { runner.wake() }
     private val remoteRuns = RemoteRunServer(Capacity(), waitingRuns, clock)
     private val plan = CellPlan()
     private val unserved = UnservedDataCentres(scope, { tables.workers() }, ports.canConnect, clock)
@@ -110,7 +121,18 @@
         peers,
         admission,
         demand,
-        PeerRequestTargets(runner, inquiries, remoteRuns, claims, cells, ::routeOf, ::onHeartbeat, ::configurationMessage),
+        PeerRequestTargets(
+            runner,
+            inquiries,
+            remoteRuns,
+            claims,
+            handovers,
+            takeovers,
+            ::routeOf,
+            ::stopRefusal,
+            ::onHeartbeat,
+            ::configurationMessage,
+        ),
         rules,
         clock,
     )
@@ -122,9 +144,11 @@
     @Volatile
     var pollClients: () -> Unit = {}
 
+    /** The planned stop of this VM, null before it is requested. */
     @Volatile
-    override var isStopping = false
-        private set
+    private var plannedStop: PlannedStop? = null
+
+    override val isStopping: Boolean get() = plannedStop != null
 
     private inner class Connections : PeerEvents {
         override fun connected(vm: VmIdentity) = Unit
@@ -214,10 +238,12 @@
     override fun route(host: String, path: String): QueueRoute? = tables.configuration?.route(host, path)
 
     override suspend fun run(job: FleetJob, queue: JobQueue, waitMs: Long, signal: CancellationSignal): JobOutcome {
-        val refusal = admission.refuseClient()
+        val refusal = admission.refuseClient() ?: stopRefusal(job, waitMs)
         return if (refusal != null && !forwarder.has(job.id)) refusal else forwarder.run(job, queue, waitMs, signal)
     }
 
+    private fun stopRefusal(job: FleetJob, waitMs: Long): JobOutcome? = plannedStop?.refusal(job, waitMs, clock.millis())
+
     override suspend fun cancel(jobId: String): JobPresence = inquiries.cancel(jobId)
 
     override suspend fun find(jobId: String): JobPresence = inquiries.find(jobId)
@@ -249,7 +275,7 @@
     private fun unresponsiveMs(vm: VmIdentity): Long =
         if (vm.dataCentre == settings.dataCentre) rules.peerUnresponsiveMs else rules.farPeerUnresponsiveMs
 
-    private fun openJobs(cell: String): Set<String> = dispatch.openJobs { Cells.ofJob(settings.dataCentre, it) == cell }
+    private fun openJobs(cell: String): Set<String> = dispatch.openJobs(clock.millis()) { Cells.ofJob(settings.dataCentre, it) == cell }
 
     // Callbacks from the components
 
@@ -357,15 +383,17 @@
 
         override fun gained(cell: String, token: Long, formerOwner: VmIdentity?) {
             val former = formerOwner?.takeIf { peers.liveness.isLive(it) }
-            former?.let { peers.formers.gained(cell, it, demand.now()) }
-            cells.gain(cell, token, former)
+            former?.let { peers.formers.gained(cell, token, it, demand.now()) }
+            cells.gain(cell, token)
             heartbeats.announceChange()
         }
 
-        override fun lost(cell: String, successor: VmIdentity?, handover: Boolean) {
+        override fun lost(cell: String, successor: CellOwner?, handover: Boolean) {
+            val token = cells.token(cell)
             val handedOver = cells.lose(cell, handover && successor != null)
             if (handedOver != null && successor != null) handovers.begin(handedOver, successor)
             remoteRuns.refuseWaiting("no worker left that can run it") { !cells.couldRun(it) }
+            if (handedOver == null && token != null) handovers.abandoned(cell, token)
             heartbeats.announceChange()
         }
 
@@ -423,6 +451,7 @@
             guard.attempt("peers") { peers.liveness.removeLost(clock.millis()).forEach { peerLost(it) } }
             guard.attempt("cells") { cells.tick() }
             guard.attempt("handovers") { handovers.tick() }
+            guard.attempt("takeovers") { takeovers.tick() }
             guard.attempt("jobs") { runner.tick() }
             delay(TICK_MS)
         }
@@ -457,19 +486,29 @@
 
     // Planned stop
 
-    /** Planned stop: hands the cells over and returns when no job, run or request ([openRequests]) is left or the grace period is over. */
+    /**
+     * Planned stop: hands the cells over and returns when no job, run or request ([openRequests]) is left, or shortly before the end of the
+     * grace period, when the jobs that are left have been ended so that their clients get an answer.
+     */
     suspend fun drain(openRequests: () -> Int) {
-        isStopping = true
         val begin = clock.millis()
+        val stop = PlannedStop(begin + (settings.graceSeconds * MS_PER_S).toLong() - EXIT_MARGIN_MS)
+        plannedStop = stop
         log.info { "event=stopping open=${openRequests()} jobs=${dispatch.size()}" }
         heartbeats.announceChange()
         remoteRuns.refuseWaiting("the VM stops") { true }
-        val latest = begin + (settings.graceSeconds * MS_PER_S).toLong() - EXIT_MARGIN_MS
-        delay(LOAD_BALANCER_DELAY_MS)
-        while (clock.millis() < latest && openRequests() + dispatch.size() + cells.runCount() > 0) delay(TICK_MS)
+        delay(minOf(LOAD_BALANCER_DELAY_MS, stop.endsAt - begin))
+        while (clock.millis() < stop.endsAt && openRequests() + dispatch.size() + cells.runCount() > 0) delay(TICK_MS)
+        endJobs("the VM stops")
         log.info { "event=stopped open=${openRequests()} jobs=${dispatch.size()} after_ms=${clock.millis() - begin}" }
     }
 
+    /** Ends the jobs that are dispatched here, and those of this VM's clients that are dispatched elsewhere. */
+    private fun endJobs(reason: String) {
+        runner.endAll(reason)
+        forwarder.cancelAll()
+    }
+
     fun close() {
         network.close()
         scope.cancel()
--- a/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
@@ -7,13 +7,16 @@
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.FormerDispatchers
 import dandelionpoint.coordination.fleet.PeerLiveness
-import dandelionpoint.coordination.fleet.ReportUse
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.Submission
 import dandelionpoint.protocol.Clock
+import dandelionpoint.protocol.fleet.FleetJob
+import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.millis
 import dandelionpoint.protocol.peer.CancelAnswer
 import dandelionpoint.protocol.peer.CellHandover
+import dandelionpoint.protocol.peer.CellUse
+import dandelionpoint.protocol.peer.CellUseQuery
 import dandelionpoint.protocol.peer.FleetHeartbeat
 import dandelionpoint.protocol.peer.InquiryAnswer
 import dandelionpoint.protocol.peer.JobAnswer
@@ -26,7 +29,6 @@
 import dandelionpoint.protocol.peer.RemoteRunRequest
 import dandelionpoint.protocol.peer.RunCancel
 import dandelionpoint.protocol.peer.VmIdentity
-import dandelionpoint.protocol.peer.WorkersReleased
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
 
@@ -59,8 +61,11 @@
     val inquiries: JobInquiries,
     val remoteRuns: RemoteRunServer,
     val claims: CellClaims,
-    val cells: OwnedCells,
+    val handovers: CellHandovers,
+    val takeovers: CellTakeovers,
     val routeOf: (String) -> DispatchRoute,
+    /** The refusal of a job whose client waits for a time in ms, null unless this VM stops before the job has ended. */
+    val stopRefusal: (FleetJob, Long) -> JobOutcome?,
     val onHeartbeat: (VmIdentity, FleetHeartbeat, Long) -> Unit,
     val configuration: () -> PeerMessage?,
 )
@@ -103,7 +108,9 @@
             is PeerMessage.ConfigPull -> targets.configuration()
 
             // Without an answer, the sender repeats the report.
-            is WorkersReleased -> if (onReport(from, message, sentAt)) ReleaseAnswer else null
+            is CellUse -> if (targets.takeovers.onReport(from, message, sentAt)) ReleaseAnswer else null
+
+            is CellUseQuery -> targets.handovers.answer(from, message)
 
             is CellHandover -> {
                 if (!isExpired(from, message, sentAt, MAX_HANDOVER_AGE_MS)) targets.claims.handover(message.cell, from)
@@ -146,7 +153,7 @@
         val submission =
             Submission(offer.job, offer.queue, from.incarnation, now - offer.ageMs, now + offer.remainingMs, offer.attempt)
         if (targets.runner.has(submission.attempt)) return JobAnswer(targets.runner.run(submission))
-        if (isExpired(from, offer, sentAt, rules.maxRequestAgeMs)) return JobAnswer()
+        if (isExpired(from, offer, sentAt, rules.maxRequestAgeMs) || isTooLate(offer)) return JobAnswer()
         if (!admission.acceptsOffer(offer.ageMs + demand.now() - sentAt)) return JobAnswer()
         return when (val route = decidedRoute(offer.job.id)) {
             DispatchRoute.Here -> JobAnswer(targets.runner.run(submission))
@@ -155,6 +162,9 @@
         }
     }
 
+    /** True if this VM stops, and the offered job may not end before its process does. */
+    private fun isTooLate(offer: JobOffer): Boolean = targets.stopRefusal(offer.job, offer.remainingMs) != null
+
     /** The route of a job, after a short wait if a former owner of its cell has not reported yet whether it has the job. */
     private suspend fun decidedRoute(jobId: String): DispatchRoute {
         val latest = clock.millis() + MAX_REPORT_WAIT_MS
@@ -166,16 +176,6 @@
         return route
     }
 
-    /** Applies a report that [from] made on the date [sentAt] or later. Returns false if it has to be sent again. */
-    private fun onReport(from: VmIdentity, report: WorkersReleased, sentAt: Long): Boolean {
-        val use = state.formers.onReport(report.cell, from, report.openJobs, sentAt)
-        if (use == ReportUse.APPLIED) {
-            targets.cells.released(report.cell, report.workerIds)
-            targets.runner.wake()
-        }
-        return use != ReportUse.TOO_OLD
-    }
-
     private companion object {
         /** An offer of a cell that may be older is not followed: its owner would not take the loss of the cell for a handover, in ms. */
         const val MAX_HANDOVER_AGE_MS = 1_500L
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedNetwork.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedNetwork.kt
@@ -1,6 +1,7 @@
 /* The network between simulated VMs: which processes listen, which connections are open and which paths are cut. */
 package dandelionpoint.fleet.simulation
 
+import dandelionpoint.protocol.peer.PeerMessage
 import dandelionpoint.protocol.peer.RemoteRunRequest
 import dandelionpoint.protocol.peer.VmIdentity
 import dandelionpoint.transport.peer.PeerAddress
@@ -16,6 +17,8 @@
 
 /** All VMs and their connections. */
 internal class SimulatedNetwork(val world: SimulationWorld, val remoteRuns: RemoteRunObserver) {
+    /** Extra delay in ms of each copy of a message that the first VM sends to the second one; no copy if the message is lost. */
+    var copies: (from: String, to: String, message: PeerMessage) -> List<Long> = { _, _, _ -> listOf(0L) }
     private val listening = LinkedHashMap<PeerAddress, SimulatedTransport>()
 
     /** Names of the VMs whose process has ended while their machine runs, by their addresses. */
