--- a/src/main/kotlin/dandelionpoint/coordination/fleet/CandidateWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/CandidateWorker.kt
@@ -10,4 +10,11 @@
     val leftMilli: Int,
     val isInRack: Boolean = true,
     val isRackInDemand: Boolean = false,
-)
+) {
+    /** True if this worker is to be preferred to [other], on which the run is expected to end at nearly the same time. */
+    fun isBetterThan(other: CandidateWorker): Boolean = when {
+        isRackInDemand != other.isRackInDemand -> other.isRackInDemand
+        leftMilli != other.leftMilli -> leftMilli < other.leftMilli
+        else -> expectedMs < other.expectedMs
+    }
+}
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/LabelSpeeds.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/LabelSpeeds.kt
@@ -15,6 +15,8 @@
     private class Observed(val runs: Int, val speed: Double, val deviation: Double) {
         val isUniform: Boolean get() = deviation <= MAX_DEVIATION * speed
 
+        fun tellsMoreThan(other: Observed): Boolean = if (isUniform == other.isUniform) runs > other.runs else isUniform
+
         fun with(observed: Double): Observed {
             val weight = max(1.0 / (runs + 1), WEIGHT)
             val error = observed - speed
@@ -33,11 +35,14 @@
      * The speed of that one of [labels] for which most runs have been observed; labels on whose workers the speed differs much are used
      * only if there is no other. Null if too few runs have been observed.
      */
-    fun speedOf(labels: Set<String>): Double? = labels
-        .mapNotNull { byLabel[it] }
-        .filter { it.runs >= MIN_RUNS }
-        .maxWithOrNull(compareBy({ it.isUniform }, { it.runs }))
-        ?.speed
+    fun speedOf(labels: Set<String>): Double? {
+        var best: Observed? = null
+        for (label in labels) {
+            val observed = byLabel[label]?.takeIf { it.runs >= MIN_RUNS } ?: continue
+            if (best == null || observed.tellsMoreThan(best)) best = observed
+        }
+        return best?.speed
+    }
 
     private companion object {
         /** Fewer runs say little, since estimates are wrong by up to 40 %. */
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerChoice.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerChoice.kt
@@ -6,6 +6,7 @@
 package dandelionpoint.coordination.fleet
 
 import kotlin.math.max
+import kotlin.math.min
 
 /** Largest difference of expected ends that still count as nearly equal. Estimates may be wrong by much more than this. */
 private const val TOLERANCE_MS = 10L
@@ -16,11 +17,16 @@
 /** True if a run time of [otherMs] is nearly as short as [bestMs]. */
 internal fun isNearlyEqual(otherMs: Long, bestMs: Long): Boolean = otherMs <= bestMs + max(TOLERANCE_MS, bestMs / TOLERANCE_DIVISOR)
 
-/** The candidate to choose, null if there is none. */
-internal fun <T> List<T>.choose(candidate: (T) -> CandidateWorker): T? {
-    val bestMs = minOfOrNull { candidate(it).expectedMs } ?: return null
-    return filter { isNearlyEqual(candidate(it).expectedMs, bestMs) }
-        .minWithOrNull(compareBy({ candidate(it).isRackInDemand }, { candidate(it).leftMilli }, { candidate(it).expectedMs }))
+/** The candidate to choose, null if there is none. Called for each run, and thus without intermediate lists. */
+internal inline fun <T : Any> List<T>.choose(candidate: (T) -> CandidateWorker): T? {
+    var bestMs = Long.MAX_VALUE / 2
+    for (item in this) bestMs = min(bestMs, candidate(item).expectedMs)
+    var chosen: T? = null
+    for (item in this) {
+        val isNearlyEqual = isNearlyEqual(candidate(item).expectedMs, bestMs)
+        if (isNearlyEqual && (chosen == null || candidate(item).isBetterThan(candidate(chosen)))) chosen = item
+    }
+    return chosen
 }
 
 /**
@@ -34,17 +40,21 @@
     racksInDemand: Set<String> = emptySet(),
 ): List<CandidateWorker> {
     val avoided = excluded ?: order.avoid?.takeIf { order.hasFailed && canRunElsewhere(order, now) }
-    return filter { it.entry.id != avoided && it.fits(order, now) }.map {
-        CandidateWorker(
-            workerId = it.entry.id,
-            expectedMs = it.expectedMs(order),
-            leftMilli = it.free().cpuMilli - order.demand.cpuMilli,
-            isInRack = it.isInRack(order),
-            isRackInDemand = racksInDemand.isNotEmpty() && it.entry.labels.any { label -> label in racksInDemand },
-        )
+    val candidates = ArrayList<CandidateWorker>()
+    for (worker in this) {
+        if (worker.fits(order, now) && worker.entry.id != avoided) candidates += worker.candidate(order, racksInDemand)
     }
+    return candidates
 }
 
+private fun TrackedWorker.candidate(order: RunOrder, racksInDemand: Set<String>) = CandidateWorker(
+    workerId = entry.id,
+    expectedMs = expectedMs(order),
+    leftMilli = free().cpuMilli - order.demand.cpuMilli,
+    isInRack = isInRack(order),
+    isRackInDemand = racksInDemand.isNotEmpty() && entry.labels.any { it in racksInDemand },
+)
+
 /** True if a worker other than the one to avoid can run [order], now or after other runs have ended. */
 internal fun Collection<TrackedWorker>.canRunElsewhere(order: RunOrder, now: Long): Boolean =
     any { it.entry.id != order.avoid && it.couldRun(order, now) }
