Let tasks wait where the expected wait is shortest; refuse by that wait

Cause: a VM whose cells were full knew nothing of the work that waited elsewhere. Its tasks waited at home, and admission refused jobs by the wait at home although they could have run in time at another owner. Refused clients were all told to come again after 1 s.

Change: heartbeats announce the backlog by pool and priority, nothing while nothing waits. PeerBacklogs estimates the wait at each other owner and adds what this VM has sent there since; older heartbeats count less. A task that finds no room waits elsewhere if the expected wait there is shorter by 20 ms or a quarter, at the better of two owners chosen at random, for as long as it would have waited here. Admission counts the waiting runs of other VMs and uses the least wait. Retry-After is the expected wait, spread by the job's id. A VM logs event=waiting_work every 3 s while anything waits or is refused. A run that finds room at once needs no more messages and no further pass. The order of waiting work is the type Urgency.

DispatchTest expected the fixed 1,000 ms for Retry-After, which no longer holds; it now expects the value from the exact expected wait.

Tests: PeerBacklogsTest, RetryAfterTest, WaitingReportTest, DispatchTest. Each guard was taken out in a scratch copy and its test failed: margin, work sent since the heartbeat, age, choice among two, priorities, stopping VMs, least wait in admission, waiting runs in admission, work ahead in a pass, spread, count of refusals.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -30,7 +30,19 @@
 internal fun interface RunPlacer {
     fun place(order: RunOrder): RunLocation?
 
-    /** Does the same for a run that another VM has requested, in this VM's cells only. Returns false if it fits on no worker. */
+    /**
+     * Requests the run of [order], which fits nowhere at the moment, at another VM if it has to wait there for a shorter time. Work of
+     * [aheadCoreMs] gets capacity in this VM's cells before it. Returns null if it is to wait here.
+     */
+    fun placeToWait(order: RunOrder, aheadCoreMs: Long): RunLocation? = null
+
+    /**
+     * The least expected wait of work of [queue] in the cells of other VMs, if it is [ownWaitMs] in those of this VM, both in ms. Null if
+     * there are no others.
+     */
+    fun waitElsewhereMs(queue: JobQueue, ownWaitMs: Double): Double? = null
+
+    /** Does the same as [place] for a run that another VM has requested, in this VM's cells only. Returns false if it fits on no worker. */
     fun placeForPeer(order: RunOrder): Boolean = false
 }
 
@@ -40,7 +52,7 @@
  * @property lateFactor a job is refused if it is expected to take longer than this many times its objective ([DispatchedJob.objectiveMs])
  * @property maxWaitShare a job that has not started is refused after this share of the time up to its deadline, so that its client has
  *     time to submit it again
- * @property retryAfterMs time after which the client may submit a refused job again, in ms
+ * @property retrySpreadMs refused jobs are submitted again over this time or more after the expected wait, in ms; see [retryAfterMs]
  * @property maxJobs the most jobs in progress at once
  * @property lostRemoteRunDelayMs a task whose run was lost with another VM is not started again for this long, in ms, since the run may
  *     go on until its lease has expired
@@ -48,7 +60,7 @@
 internal data class DispatchRules(
     val lateFactor: Double = 1.3,
     val maxWaitShare: Double = 0.4,
-    val retryAfterMs: Long = 1_000,
+    val retrySpreadMs: Long = 1_000,
     val maxJobs: Int = 2_000,
     val lostRemoteRunDelayMs: Long = 2_000,
 )
@@ -82,6 +94,10 @@
     private val stopping = StoppingRuns()
     private var lastDispatch = 0L
 
+    /** Cores of the usable workers by pool, as of the last submission. */
+    private val knownCores = HashMap<String, Double>()
+    private val report = WaitingReport()
+
     /** True if a task was waiting, for capacity or for another reason, at the end of the last scheduling pass, or has begun to since. */
     @Volatile
     var hasWaitingTasks = false
@@ -105,38 +121,76 @@
             return@synchronized emptyList()
         }
         val job = DispatchedJob(submission, ++lastDispatch)
-        val refusal = refusal(job, poolCores, now)
+        knownCores[submission.queue.pool] = poolCores
+        val refusal = refusal(job, poolCores, now, placer)
         if (refusal != null) return@synchronized listOf(answer(job.job.id, job.attempts, refusal, now))
         jobs[job.job.id] = job
         placeWaitingTasks(now, placer)
     }
 
-    private fun refusal(job: DispatchedJob, poolCores: Double, now: Long): JobOutcome? {
-        if (jobs.size >= rules.maxJobs) return notRun("too many jobs in progress")
-        if (now >= job.deadlineAt) return notRun("the client's deadline has passed")
+    private fun refusal(job: DispatchedJob, poolCores: Double, now: Long, placer: RunPlacer): JobOutcome? = when {
+        jobs.size >= rules.maxJobs -> notRun(job, RefusalReason.TOO_MANY_JOBS, "too many jobs in progress")
+
+        now >= job.deadlineAt -> notRun(job, RefusalReason.DEADLINE_PASSED, "the client's deadline has passed")
+
         // Without a usable worker the job waits for one, since another VM may just be taking a cell over; expire() refuses it in time.
-        if (poolCores <= 0.0) return null
-        val aheadCoreMs = jobs.values.filter { it.queue.pool == job.queue.pool && isAhead(it, job) }.sumOf { it.waitingCoreMs() }
-        val waitMs = (aheadCoreMs + job.waitingCoreMs() / 2) / poolCores
-        val endsAt = now + waitMs.toLong() + job.remainingChainMs()
+        poolCores <= 0.0 -> null
+
+        else -> refusalByWait(job, poolCores, now, placer)
+    }
+
+    /** The refusal of a job that cannot be on time by the least of the expected waits, here and elsewhere. */
+    private fun refusalByWait(job: DispatchedJob, poolCores: Double, now: Long, placer: RunPlacer): JobOutcome? {
         val latestEnd = minOf(job.arrivedAt + (job.objectiveMs * rules.lateFactor).toLong(), job.deadlineAt)
-        return if (aheadCoreMs > 0 && endsAt > latestEnd) notRun("expected to end ${endsAt - job.arrivedAt} ms after its arrival") else null
+        val maxWaitMs = latestEnd - job.remainingChainMs() - (job.waitingCoreMs() / 2 / poolCores).toLong() - now
+        val aheadCoreMs = aheadCoreMs(job)
+        val ownWaitMs = aheadCoreMs / poolCores
+        if (aheadCoreMs == 0L || ownWaitMs.toLong() <= maxWaitMs) return null
+        val waitMs = minOf(ownWaitMs, placer.waitElsewhereMs(job.queue, ownWaitMs) ?: ownWaitMs)
+        if (waitMs.toLong() <= maxWaitMs) return null
+        return notRun(job, RefusalReason.EXPECTED_WAIT, "expected to wait for ${waitMs.toLong()} ms", waitMs)
     }
 
-    private fun isAhead(other: DispatchedJob, job: DispatchedJob) =
-        compareValuesBy(other, job, { it.queue.priority }, ::latestStartOnTime) <= 0
+    /** Work that waits here and gets capacity before [job], in core-ms. */
+    private fun aheadCoreMs(job: DispatchedJob): Long {
+        val pool = job.queue.pool
+        val own = jobs.values.filter { it.queue.pool == pool && it.urgency <= job.urgency }.sumOf { it.waitingCoreMs() }
+        return own + waitingRuns.inOrder().filter { it.pool == pool && it.urgency < job.urgency }.sumOf { it.coreMs }
+    }
+
+    private fun notRun(
+        job: DispatchedJob,
+        reason: RefusalReason,
+        description: String,
+        expectedWaitMs: Double = expectedWaitMs(job),
+    ): JobOutcome {
+        report.recordRefusal(reason)
+        return JobOutcome.NotRun(description, retryAfterMs(job.job.id, expectedWaitMs, rules.retrySpreadMs))
+    }
 
-    /** Latest time at which the remaining tasks must start for the job to be on time. Smaller values are more urgent. */
-    private fun latestStartOnTime(job: DispatchedJob): Long = job.arrivedAt + job.objectiveMs - job.remainingChainMs()
+    /** The wait for work like [job] that is submitted now, in ms. */
+    private fun expectedWaitMs(job: DispatchedJob): Double {
+        val cores = knownCores[job.queue.pool]?.takeIf { it > 0 } ?: return 0.0
+        return waitingWork(jobs.values, waitingRuns.inOrder()).upTo(job.queue.pool, job.queue.priority) / cores
+    }
 
-    private fun notRun(reason: String) = JobOutcome.NotRun(reason, rules.retryAfterMs)
+    /** The work that waits for capacity in this VM's cells, its own and that of other VMs: see [WaitingWork.announced]. */
+    fun backlog(): Map<String, List<Long>> = if (hasWaitingWork) {
+        synchronized(lock) {
+            waitingWork(jobs.values, waitingRuns.inOrder()).announced()
+        }
+    } else {
+        emptyMap()
+    }
 
     /** Places waiting tasks and the waiting runs of other VMs, by queue priority and then by urgency. */
     fun schedule(now: Long, placer: RunPlacer): List<DispatchEvent> = synchronized(lock) { placeWaitingTasks(now, placer) }
 
     private fun placeWaitingTasks(now: Long, placer: RunPlacer): List<DispatchEvent> {
         stopping.prune(now)
-        val events = expire(now) + waitingRuns.removeExpired(now).map { DispatchEvent.WaitingRunExpired(it) }
+        val expired = waitingRuns.removeExpired(now)
+        expired.forEach { _ -> report.recordRefusal(RefusalReason.PEER_RUN_EXPIRED) }
+        val events = expire(now) + expired.map { DispatchEvent.WaitingRunExpired(it) }
         SchedulingPass(now, placer).run()
         hasWaitingTasks = jobs.values.any { it.hasWaitingTasks }
         return events
@@ -150,39 +204,45 @@
         private val runs = waitingRuns.inOrder()
         private var nextRun = 0
         private var unplacedCost = 0
+
+        /** Work that was tried before and fitted nowhere, by pool. */
+        private val aheadCoreMs = HashMap<String, Long>()
         private val hasEnded: Boolean get() = unplacedCost >= MAX_UNPLACED_COST
 
         fun run() {
-            for (job in jobs.values.sortedWith(compareBy({ it.queue.priority }, ::latestStartOnTime))) {
-                placeRuns { it.isAheadOf(job) }
+            for (job in jobs.values.sortedBy { it.urgency }) {
+                placeRuns { it.urgency < job.urgency }
                 if (hasEnded) return
                 placeTasks(job)
             }
             placeRuns { true }
         }
 
-        private fun RunOrder.isAheadOf(job: DispatchedJob) =
-            priority < job.queue.priority || (priority == job.queue.priority && onTimeStartAt < latestStartOnTime(job))
-
         private fun placeRuns(isDue: (RunOrder) -> Boolean) {
             while (!hasEnded && nextRun < runs.size && isDue(runs[nextRun])) {
-                if (!waitingRuns.startIfWaiting(runs[nextRun++].key) { placer.placeForPeer(it) }) unplacedCost++
+                val run = runs[nextRun++]
+                if (waitingRuns.startIfWaiting(run.key) { placer.placeForPeer(it) }) continue
+                unplacedCost++
+                aheadCoreMs.merge(run.pool, run.coreMs, Long::plus)
             }
         }
 
         private fun placeTasks(job: DispatchedJob) {
-            val onTimeStartAt = latestStartOnTime(job)
             val latestStartAt = if (job.hasStarted) job.deadlineAt - job.remainingChainMs() else latestStart(job)
             for (task in job.waiting(now).filter { !stopping.mayRun(it.ref, now) }) {
-                val order = job.nextOrder(task, origin, onTimeStartAt, latestStartAt)
-                val location = placer.place(order)
+                val order = job.nextOrder(task, origin, latestStartAt)
+                val location = placer.place(order) ?: placer.placeToWait(order, aheadOf(job, order))
                 if (location == null) {
                     unplacedCost += UNPLACED_JOB_COST
+                    aheadCoreMs.merge(job.queue.pool, job.waitingCoreMs(), Long::plus)
                     return
                 }
                 job.recordPlaced(task, order, location)
             }
         }
+
+        /** What the last one of the tasks of [job] that still wait, all like [order], has to wait for. */
+        private fun aheadOf(job: DispatchedJob, order: RunOrder) = (aheadCoreMs[order.pool] ?: 0) + job.waitingCoreMs() - order.coreMs
     }
 
     /** Ends started jobs whose deadline has passed, and refuses jobs that have not started and can no longer be on time. */
@@ -193,7 +253,9 @@
                 now >= job.deadlineAt && job.hasStarted ->
                     events += finish(job, JobOutcome.GivenUp("the client's deadline has passed"), now)
 
-                !job.hasStarted && now >= latestStart(job) -> events += finish(job, notRun("no free worker capacity in time"), now)
+                !job.hasStarted && now >= latestStart(job) ->
+                    events +=
+                        finish(job, notRun(job, RefusalReason.NO_CAPACITY, "no free worker capacity in time"), now)
             }
         }
         return events
@@ -291,7 +353,9 @@
 
     /** Ends all jobs for [reason]: after a process pause of this VM, during which the other VMs may have taken it for lost. */
     fun cancelAll(reason: String, now: Long): List<DispatchEvent> = synchronized(lock) {
-        jobs.values.toList().flatMap { finish(it, if (it.hasStarted) JobOutcome.GivenUp(reason) else notRun(reason), now) }
+        jobs.values.toList().flatMap {
+            finish(it, if (it.hasStarted) JobOutcome.GivenUp(reason) else notRun(it, RefusalReason.CANCELLED, reason), now)
+        }
     }
 
     private fun finish(job: DispatchedJob, outcome: JobOutcome, now: Long): List<DispatchEvent> {
@@ -310,6 +374,11 @@
         return DispatchEvent.Finished(jobId, outcome, attempts.toSet())
     }
 
+    /** A log line on waiting and refused work, null if none is due at [now]. */
+    fun waitingReport(now: Long): String? = synchronized(lock) {
+        if (report.isDue(now)) report.line(waitingCounts(jobs.values, waitingRuns.inOrder()), now) else null
+    }
+
     fun size(): Int = synchronized(lock) { jobs.size }
 
     /** True if the job is in progress here. */
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/DispatchedJob.kt
@@ -107,6 +107,12 @@
         tasks[step].count { it.isWaiting }.toLong() * job.steps[step].estimateMs * job.steps[step].demand.cpuMilli / MILLI
     }
 
+    /** The place of the job's tasks in the order of waiting work. */
+    val urgency: Urgency get() = Urgency(queue.priority, arrivedAt + objectiveMs - remainingChainMs())
+
+    /** Number of the tasks that are neither done nor placed. */
+    fun waitingTasks(): Int = tasks.sumOf { step -> step.count { it.isWaiting } }
+
     /** Length of the longest chain of dependent steps that are not done, in ms by the client's estimates. */
     fun remainingChainMs(): Long = longestChainMs { step -> tasks[step].any { !it.isDone } }
 
@@ -120,10 +126,9 @@
     }
 
     /**
-     * The order for the next run of [task], dispatched by the VM with the incarnation [origin]. For [onTimeStartAt] and [latestStartAt] see
-     * [RunOrder].
+     * The order for the next run of [task], dispatched by the VM with the incarnation [origin]. For [latestStartAt] see [RunOrder].
      */
-    fun nextOrder(task: DispatchedTask, origin: String, onTimeStartAt: Long, latestStartAt: Long): RunOrder {
+    fun nextOrder(task: DispatchedTask, origin: String, latestStartAt: Long): RunOrder {
         val step = job.steps[task.ref.step]
         return RunOrder(
             run = TaskRun(task.ref, task.run + 1),
@@ -141,7 +146,7 @@
             entryVm = entryVm,
             deadlineAt = deadlineAt,
             priority = queue.priority,
-            onTimeStartAt = onTimeStartAt,
+            onTimeStartAt = urgency.onTimeStartAt,
             latestStartAt = latestStartAt,
         )
     }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/RunOrder.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/RunOrder.kt
@@ -16,6 +16,15 @@
  */
 internal data class AttemptKey(val entryVm: String, val jobId: String, val number: Long)
 
+/**
+ * The order of waiting work: by [priority] of the queue, 0 first, then by [onTimeStartAt], the latest time at which the work can start and
+ * still be on time, in ms on the VM's monotonic clock. Smaller values are more urgent.
+ */
+internal data class Urgency(val priority: Int, val onTimeStartAt: Long) : Comparable<Urgency> {
+    override fun compareTo(other: Urgency): Int =
+        if (priority != other.priority) priority.compareTo(other.priority) else onTimeStartAt.compareTo(other.onTimeStartAt)
+}
+
 /**
  * A run to be placed on a worker of [pool]. [origin] is the incarnation of the VM that dispatches the job; the run is stopped when that VM
  * is lost. [dispatch] is the origin's number of the submission. [entryVm] is the incarnation of the VM that the job's client is connected
@@ -51,6 +60,15 @@
 
     val task: TaskRef get() = run.task
 
+    val urgency: Urgency get() = Urgency(priority, onTimeStartAt)
+
+    /** Work of the run in core-ms by the client's estimates. */
+    val coreMs: Long get() = estimateMs * demand.cpuMilli / MILLI
+
     /** True if both runs belong to the same step of the same job. */
     fun sharesStepWith(other: RunOrder): Boolean = task.jobId == other.task.jobId && task.step == other.task.step
+
+    private companion object {
+        const val MILLI = 1_000
+    }
 }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/WaitingRuns.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/WaitingRuns.kt
@@ -13,7 +13,7 @@
     private class Entry(val order: RunOrder, val number: Long)
 
     private val lock = Any()
-    private val byUrgency = TreeSet<Entry>(compareBy({ it.order.priority }, { it.order.onTimeStartAt }, { it.number }))
+    private val byUrgency = TreeSet<Entry>(compareBy({ it.order.urgency }, { it.number }))
     private val byKey = HashMap<RunKey, Entry>()
     private var lastNumber = 0L
 
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -15,6 +15,7 @@
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.JobOwnership
 import dandelionpoint.coordination.fleet.PauseDetector
+import dandelionpoint.coordination.fleet.PeerBacklogs
 import dandelionpoint.coordination.fleet.ProcessPause
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunOrder
@@ -78,7 +79,7 @@
     private val uptime = UptimeClock(clock)
     private val network: PeerTransport =
         transport(scope, { from, message, sentAt -> peerRequests.handle(from, message, sentAt) }, Connections(), uptime)
-    private val peers = PeerState(::unresponsiveMs, RemoteCapacity(settings.dataCentre, random))
+    private val peers = PeerState(::unresponsiveMs, RemoteCapacity(settings.dataCentre, random), PeerBacklogs(random))
     private val demand = PeerDemand(incarnation, peers.liveness, uptime)
     private val tables = FleetTables(ports, Tables(), clock, rules)
     private val cells = OwnedCells(scope, ports.workers, Runs(), { tables.workers() }, clock, rules, demand)
@@ -86,7 +87,7 @@
     private val dispatch = Dispatch(incarnation, waitingRuns = waitingRuns)
     private val handovers =
         CellHandovers(scope, network, cells, peers.formers, ::openJobs, { peers.liveness.isLive(it) }, clock)
-    private val runner = JobRunner(scope, dispatch, peers.remote, network, Fleet(), clock)
+    private val runner = JobRunner(scope, dispatch, peers.remote, network, Fleet(), clock, peers.backlogs)
     private val remoteRuns = RemoteRunServer(Capacity(), waitingRuns, clock)
     private val plan = CellPlan()
     private val unserved = UnservedDataCentres(scope, { tables.workers() }, ports.canConnect, clock)
--- a/src/main/kotlin/dandelionpoint/fleet/HeartbeatContents.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/HeartbeatContents.kt
@@ -56,6 +56,7 @@
             relayed = if (isSameDataCentre) emptyMap() else entryVmAges(),
             cancelledJobs = work.forwarder.unconfirmedCancellations(),
             cancelledRuns = work.runner.unconfirmedStops(),
+            backlog = work.dispatch.backlog(),
         )
     }
 
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -8,6 +8,7 @@
 import dandelionpoint.coordination.fleet.AttemptKey
 import dandelionpoint.coordination.fleet.Dispatch
 import dandelionpoint.coordination.fleet.DispatchEvent
+import dandelionpoint.coordination.fleet.PeerBacklogs
 import dandelionpoint.coordination.fleet.RunKey
 import dandelionpoint.coordination.fleet.RunLocation
 import dandelionpoint.coordination.fleet.RunOrder
@@ -15,6 +16,7 @@
 import dandelionpoint.coordination.fleet.Submission
 import dandelionpoint.protocol.Clock
 import dandelionpoint.protocol.fleet.JobOutcome
+import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.RunEnd
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.millis
@@ -71,6 +73,7 @@
     private val link: PeerLink,
     private val view: FleetView,
     private val clock: Clock = Clock.System,
+    private val backlogs: PeerBacklogs = PeerBacklogs(),
 ) {
     private val waiters = ConcurrentHashMap<AttemptKey, CompletableDeferred<JobOutcome>>()
     private val remoteRuns = ConcurrentHashMap<RunKey, RemoteRun>()
@@ -79,6 +82,11 @@
     private val placer = object : RunPlacer {
         override fun place(order: RunOrder): RunLocation? = this@JobRunner.place(order)
 
+        override fun placeToWait(order: RunOrder, aheadCoreMs: Long): RunLocation? = letWaitElsewhere(order, aheadCoreMs)
+
+        override fun waitElsewhereMs(queue: JobQueue, ownWaitMs: Double): Double? =
+            backlogs.leastWaitMs(queue.pool, queue.priority, ownWaitMs, clock.millis())
+
         override fun placeForPeer(order: RunOrder): Boolean = view.place(order, avoidsWorker = false) != null
     }
 
@@ -132,10 +140,28 @@
 
     private fun placeRemotely(order: RunOrder): RunLocation? {
         val (vm, location) = remote.reserve(order) ?: return null
-        val run = RemoteRun(order, vm, latestStartAt = minOf(order.latestStartAt, clock.millis() + MAX_REMOTE_WAIT_MS))
+        requestRun(order, vm, MAX_REMOTE_WAIT_MS)
+        return location
+    }
+
+    /** Requests the run of [order] from [vm], where it may wait for [maxWaitMs] at most. */
+    private fun requestRun(order: RunOrder, vm: VmIdentity, maxWaitMs: Long) {
+        val run = RemoteRun(order, vm, latestStartAt = minOf(order.latestStartAt, clock.millis() + maxWaitMs))
         remoteRuns[order.key] = run
         scope.launch { runRemotely(run) }
-        return location
+    }
+
+    /**
+     * Lets the run of [order] wait at another owner if the expected wait is shorter there, for as long as it would have to wait here. Not
+     * so a run that requires a label, since it is not known which owners have workers with it.
+     */
+    private fun letWaitElsewhere(order: RunOrder, aheadCoreMs: Long): RunLocation? {
+        val now = clock.millis()
+        if (order.requiredLabel != null || order.latestStartAt - now < MAX_REMOTE_WAIT_MS || view.hasTask(order.task)) return null
+        val ownWaitMs = view.cores(order.pool).let { cores -> if (cores > 0) aheadCoreMs.toDouble() / cores else null }
+        val vm = backlogs.choose(order, ownWaitMs, now) ?: return null
+        requestRun(order, vm, (ownWaitMs?.toLong() ?: WAIT_WITHOUT_CELLS_MS).coerceAtLeast(MAX_REMOTE_WAIT_MS))
+        return RunLocation.Remote(vm.incarnation)
     }
 
     /** The VMs that have remote runs of this VM in progress. */
@@ -242,9 +268,10 @@
         if (dispatch.hasWaitingWork) wake()
     }
 
-    /** Makes the loop check deadlines, waiting tasks and waiting runs of other VMs, if there are any. */
+    /** Makes the loop check deadlines, waiting tasks and waiting runs of other VMs, if there are any, and logs what waits. */
     fun tick() {
         if (dispatch.size() > 0 || dispatch.hasWaitingWork) wake()
+        dispatch.waitingReport(clock.millis())?.let { log.info { it } }
     }
 
     private fun handle(events: List<DispatchEvent>) = events.forEach { event ->
@@ -301,6 +328,9 @@
          */
         const val MAX_REMOTE_WAIT_MS = 50L
 
+        /** Longest wait at one other owner of a run of a VM that has no workers of the pool, in ms. */
+        const val WAIT_WITHOUT_CELLS_MS = 200L
+
         /** The most requests for one run that are sent again because they took too long on their way. */
         const val MAX_EXPIRED_REQUESTS = 3
 
--- a/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
@@ -6,6 +6,7 @@
 import dandelionpoint.coordination.fleet.DispatchRoute
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.FormerDispatchers
+import dandelionpoint.coordination.fleet.PeerBacklogs
 import dandelionpoint.coordination.fleet.PeerLiveness
 import dandelionpoint.coordination.fleet.ReportUse
 import dandelionpoint.coordination.fleet.RunKey
@@ -30,7 +31,7 @@
 private val log = KotlinLogging.logger {}
 
 /** What is known of the peers, as their heartbeats and reports have it. */
-internal class PeerState(unresponsiveMs: (VmIdentity) -> Long, val remote: RemoteCapacity) {
+internal class PeerState(unresponsiveMs: (VmIdentity) -> Long, val remote: RemoteCapacity, val backlogs: PeerBacklogs) {
     val liveness = PeerLiveness(unresponsiveMs)
     val directory = CellDirectory()
     val formers = FormerDispatchers()
@@ -40,6 +41,7 @@
         liveness.onHeartbeat(from, heartbeat, now, sentAt)
         directory.update(from, heartbeat.cells)
         remote.update(from, heartbeat)
+        backlogs.update(from, heartbeat, now)
     }
 
     /** [vm] is lost. */
@@ -47,6 +49,7 @@
         directory.remove(vm)
         formers.peerLost(vm)
         remote.remove(vm)
+        backlogs.remove(vm)
     }
 }
 
--- a/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
@@ -24,7 +24,8 @@
  * of all usable ones, both by pool. [waitingJobs] is the number of jobs without a started task, by queue. [relayed] says how long
  * before this heartbeat each VM whose clients wait for remote runs of the sender was certainly alive, in ms, by the incarnation.
  * [cancelledJobs] and [cancelledRuns] are the cancellations of the sender that no receiver has confirmed yet: since a heartbeat extends the
- * leases of the sender's runs, it must not overtake them.
+ * leases of the sender's runs, it must not overtake them. [backlog] is the work that waits for capacity in the sender's cells, its own and
+ * that of other VMs, in core-ms by pool and then by priority from 0.
  */
 @Serializable
 @SerialName("beat")
@@ -38,6 +39,7 @@
     @SerialName("l") val relayed: Map<String, Long> = emptyMap(),
     @SerialName("c") val cancelledJobs: List<JobCancel> = emptyList(),
     @SerialName("x") val cancelledRuns: List<RunCancel> = emptyList(),
+    @SerialName("b") val backlog: Map<String, List<Long>> = emptyMap(),
 ) : FleetMessage
 
 /**
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/DispatchTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/DispatchTest.kt
@@ -15,8 +15,8 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 
-/** Has capacity for [free] runs and records the orders that it placed. */
-private class FakePlacer(var free: Int) : RunPlacer {
+/** Has capacity for [free] runs and records the orders that it placed. Elsewhere, runs have to wait for [otherWaitMs]. */
+private class FakePlacer(var free: Int, private val otherWaitMs: Double? = null) : RunPlacer {
     val placed = mutableListOf<RunOrder>()
 
     override fun place(order: RunOrder): RunLocation? {
@@ -25,6 +25,8 @@
         placed += order
         return RunLocation.Local("akl-a")
     }
+
+    override fun waitElsewhereMs(queue: JobQueue, ownWaitMs: Double): Double? = otherWaitMs
 }
 
 private const val CORES = 32.0
@@ -141,7 +143,27 @@
                 val dispatch = Dispatch(ORIGIN)
                 dispatch.submit(submission(job("ahead", tasks = 16)), CORES, 0, FakePlacer(0)).outcomes().shouldBeEmpty()
                 val outcome = dispatch.submit(submission(job("a")), CORES, 0, FakePlacer(0)).outcomes().single()
-                outcome.shouldBeInstanceOf<JobOutcome.NotRun>().retryAfterMs shouldBe DispatchRules().retryAfterMs
+                // 16 tasks of 7 cores for 60 ms wait for 32 cores.
+                outcome.shouldBeInstanceOf<JobOutcome.NotRun>().retryAfterMs shouldBe retryAfterMs("a", 210.0, spreadMs = 1_000)
+            }
+
+            it("is not returned at once if the job would have to wait for a shorter time at another owner") {
+                fun submitted(otherWaitMs: Double?) = Dispatch(ORIGIN).let { dispatch ->
+                    dispatch.submit(submission(job("ahead", tasks = 16)), CORES, 0, FakePlacer(0))
+                    dispatch.submit(submission(job("a")), CORES, 0, FakePlacer(0, otherWaitMs)).outcomes()
+                }
+                submitted(otherWaitMs = 100.0).shouldBeEmpty()
+                submitted(otherWaitMs = 200.0).single().shouldBeInstanceOf<JobOutcome.NotRun>()
+                submitted(otherWaitMs = null).single().shouldBeInstanceOf<JobOutcome.NotRun>()
+            }
+
+            // Guards against jobs that are accepted because only the VM's own jobs are counted, and refused when it is too late.
+            it("is returned at once if the waiting runs of other VMs fill the time, with a time from their work") {
+                val waiting = WaitingRuns()
+                val dispatch = Dispatch(ORIGIN, waitingRuns = waiting)
+                repeat(16) { waiting.add(order(index = it, origin = "vm-2").copy(latestStartAt = 1_000)) }
+                val outcome = dispatch.submit(submission(job("a")), CORES, 0, FakePlacer(0)).outcomes().single()
+                outcome.shouldBeInstanceOf<JobOutcome.NotRun>().retryAfterMs shouldBe retryAfterMs("a", 210.0, spreadMs = 1_000)
             }
 
             // Guards against urgent jobs that are refused because of long ones, which they will be placed before.
@@ -187,6 +209,43 @@
             }
         }
 
+        describe("the announced backlog") {
+            it("is the waiting work of this VM and of others by pool and priority, and empty while nothing waits") {
+                val waiting = WaitingRuns()
+                val dispatch = Dispatch(ORIGIN, waitingRuns = waiting)
+                val placer = FakePlacer(1)
+                dispatch.submit(submission(job("a")), CORES, 0, placer)
+                dispatch.backlog() shouldBe emptyMap()
+                dispatch.submit(submission(job("b", tasks = 2, estimateMs = 1_000), queue(priority = 1)), CORES, 0, placer)
+                waiting.add(order(origin = "vm-2", estimateMs = 1_000).copy(priority = 3))
+                dispatch.backlog() shouldBe mapOf(POOL to listOf(0L, 14_000L, 0L, 7_000L))
+            }
+        }
+
+        describe("a task that fits nowhere") {
+            it("may wait at another VM, with the work that is placed here before it") {
+                val ahead = mutableListOf<Long>()
+                val placer = object : RunPlacer {
+                    override fun place(order: RunOrder): RunLocation? = null
+
+                    override fun placeToWait(order: RunOrder, aheadCoreMs: Long): RunLocation? {
+                        ahead += aheadCoreMs
+                        return if (order.task.jobId == "b") RunLocation.Remote("vm-2") else null
+                    }
+                }
+                val waiting = WaitingRuns()
+                val dispatch = Dispatch(ORIGIN, waitingRuns = waiting)
+                dispatch.submit(submission(job("a", tasks = 2, estimateMs = 1_000)), CORES, 0, placer)
+                waiting.add(order(origin = "vm-2", estimateMs = 1_000).copy(latestStartAt = 5_000))
+                ahead.clear()
+                dispatch.submit(submission(job("b", tasks = 2, estimateMs = 1_000), queue(priority = 1)), 1_000.0, 0, placer)
+                // The run of the other VM and the other task of a; then also both tasks of a and the other one of b; then without that one.
+                ahead shouldBe listOf(14_000L, 28_000L, 21_000L)
+                dispatch.hasWaitingTasks shouldBe true
+                dispatch.cancel(submission(job("b")).attempt, 1).filterIsInstance<DispatchEvent.StopRun>() shouldHaveSize 2
+            }
+        }
+
         describe("urgent work") {
             it("is placed before work of a lower priority that was submitted first") {
                 val dispatch = Dispatch(ORIGIN)
--- a/src/test/kotlin/dandelionpoint/fleet/WaitingRemoteRunTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/WaitingRemoteRunTest.kt
@@ -36,6 +36,7 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runCurrent
 import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeout
 import kotlin.random.Random
 
 private const val SEEDS = 200
@@ -64,8 +65,12 @@
     val running = mutableSetOf<RunKey>()
     var hasWorkers = true
 
+    /** Called once, before the next run is placed or begins to wait. */
+    var beforeNext: (() -> Unit)? = null
+
     private val host: RemoteRunHost = object : RemoteRunHost {
         override fun place(order: RunOrder): Boolean {
+            beforeNext?.also { beforeNext = null }?.invoke()
             if (free == 0) return false
             free--
             started += order.key
@@ -109,6 +114,9 @@
 
 private val NOT_STARTED = RunAnswer(RunEnd.NOT_STARTED)
 
+/** The answer, which has to come within a limited time, so that a run that is lost fails the test at once. */
+private suspend fun Deferred<RunAnswer>.answer(): RunAnswer = withTimeout(10_000) { await() }
+
 @OptIn(ExperimentalCoroutinesApi::class)
 internal class WaitingRemoteRunTest :
     DescribeSpec({
@@ -120,10 +128,10 @@
                     val second = owner.request(request(1))
                     delay(40)
                     owner.end(request(0).key)
-                    first.await() shouldBe RunAnswer(RunEnd.DONE)
+                    first.answer() shouldBe RunAnswer(RunEnd.DONE)
                     owner.started shouldContainExactly listOf(request(0).key, request(1).key)
                     owner.end(request(1).key)
-                    second.await() shouldBe RunAnswer(RunEnd.DONE)
+                    second.answer() shouldBe RunAnswer(RunEnd.DONE)
                 }
             }
 
@@ -131,9 +139,9 @@
             it("is refused at once if its sender does not let it wait, or if no worker could ever run it") {
                 runTest {
                     val owner = WaitingOwner(this)
-                    owner.request(request(0, maxWaitMs = 0)).await() shouldBe NOT_STARTED
+                    owner.request(request(0, maxWaitMs = 0)).answer() shouldBe NOT_STARTED
                     owner.hasWorkers = false
-                    owner.request(request(1)).await() shouldBe NOT_STARTED
+                    owner.request(request(1)).answer() shouldBe NOT_STARTED
                 }
             }
 
@@ -144,7 +152,7 @@
                     delay(100)
                     owner.free = 1
                     owner.schedule()
-                    run.await() shouldBe NOT_STARTED
+                    run.answer() shouldBe NOT_STARTED
                     owner.started.shouldBeEmpty()
                 }
             }
@@ -153,7 +161,7 @@
             it("waits shorter if its request was on its way for longer than usual") {
                 runTest {
                     val owner = WaitingOwner(this)
-                    owner.request(request(0, maxWaitMs = 100), ageMs = HeartbeatSender.MAX_INTERVAL_MS + 100).await() shouldBe NOT_STARTED
+                    owner.request(request(0, maxWaitMs = 100), ageMs = HeartbeatSender.MAX_INTERVAL_MS + 100).answer() shouldBe NOT_STARTED
                     owner.request(request(1, maxWaitMs = 100), ageMs = HeartbeatSender.MAX_INTERVAL_MS).isCompleted.shouldBeFalse()
                     delay(100)
                     owner.schedule()
@@ -168,7 +176,7 @@
                     owner.schedule()
                     owner.started shouldHaveSize 1
                     owner.end(request(0).key)
-                    requests.forEach { it.await() shouldBe RunAnswer(RunEnd.DONE) }
+                    requests.forEach { it.answer() shouldBe RunAnswer(RunEnd.DONE) }
                 }
             }
 
@@ -176,9 +184,9 @@
                 runTest {
                     val owner = WaitingOwner(this)
                     owner.request(request(0, priority = 0))
-                    val later = owner.request(request(1, priority = 2))
+                    // No scheduling pass has seen the free capacity yet.
                     owner.free = 1
-                    owner.schedule()
+                    val later = owner.request(request(1, priority = 2))
                     owner.started shouldContainExactly listOf(request(0).key)
                     later.isCompleted.shouldBeFalse()
                     owner.end(request(0).key)
@@ -195,10 +203,10 @@
                     owner.end()
                     runCurrent()
                     withClue("answered") { run.isCompleted.shouldBeTrue() }
-                    run.await() shouldBe NOT_STARTED
+                    run.answer() shouldBe NOT_STARTED
                     owner.free = 1
                     owner.schedule()
-                    owner.request(request(0, entryVm = "client's VM")).await() shouldBe NOT_STARTED
+                    owner.request(request(0, entryVm = "client's VM")).answer() shouldBe NOT_STARTED
                     owner.started.shouldBeEmpty()
                 }
             }
@@ -213,6 +221,19 @@
         }
 
         describe("the cancellation of a waiting run") {
+            // Another thread handles the cancellation, and finds the run neither placed nor waiting.
+            listOf(0, 1).forEach { free ->
+                it("that is handled just before the run ${if (free == 0) "begins to wait" else "is placed"} ends the run") {
+                    runTest {
+                        val owner = WaitingOwner(this, free)
+                        owner.beforeNext = { owner.server.stop(request(0).key) }
+                        owner.request(request(0)).answer() shouldBe RunAnswer(if (free == 0) RunEnd.NOT_STARTED else RunEnd.LOST)
+                        owner.schedule()
+                        owner.running.shouldBeEmpty()
+                    }
+                }
+            }
+
             it("in any order with its request, a start and an end leaves nothing running and every caller answered, with $SEEDS seeds") {
                 (1L..SEEDS).forEach { seed ->
                     runTest {
@@ -242,7 +263,7 @@
                             owner.running.shouldBeEmpty()
                             (owner.started.size <= 1).shouldBeTrue()
                             answers.all { it.isCompleted }.shouldBeTrue()
-                            answers.map { it.await() }.distinct() shouldHaveSize 1
+                            answers.map { it.answer() }.distinct() shouldHaveSize 1
                         }
                     }
                 }
