--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -16,6 +16,7 @@
 import dandelionpoint.coordination.fleet.FleetRules
 import dandelionpoint.coordination.fleet.JobOwnership
 import dandelionpoint.coordination.fleet.PauseDetector
+import dandelionpoint.coordination.fleet.PeerBacklogs
 import dandelionpoint.coordination.fleet.PlannedStop
 import dandelionpoint.coordination.fleet.ProcessPause
 import dandelionpoint.coordination.fleet.RunKey
@@ -81,7 +82,8 @@
     private val uptime = UptimeClock(clock)
     private val network: PeerTransport =
         transport(scope, { from, message, sentAt -> peerRequests.handle(from, message, sentAt) }, Connections(), uptime)
-    private val peers = PeerState(::unresponsiveMs, RemoteCapacity(settings.dataCentre, random, rules.remotePenalty))
+    private val peers =
+        PeerState(::unresponsiveMs, RemoteCapacity(settings.dataCentre, random, rules.remotePenalty), PeerBacklogs(random))
     private val demand = PeerDemand(incarnation, peers.liveness, uptime)
     private val tables = FleetTables(ports, Tables(), clock, rules)
     private val peerConfiguration = PeerConfiguration(scope, network, { tables.configurationVersion }, tables::applyConfiguration)
@@ -99,7 +101,7 @@
         clock,
         rules,
     )
-    private val runner = JobRunner(scope, dispatch, peers.remote, network, Fleet(), clock)
+    private val runner = JobRunner(scope, dispatch, peers.remote, network, Fleet(), clock, backlogs = peers.backlogs)
     private val takeovers = CellTakeovers(scope, network, cells, peers.formers, demand::now) { runner.wake() }
     private val remoteRuns = RemoteRunServer(Capacity(), waitingRuns, clock)
     private val plan = CellPlan()
--- a/src/main/kotlin/dandelionpoint/fleet/HeartbeatContents.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/HeartbeatContents.kt
@@ -61,6 +61,7 @@
             cancelledJobs = work.forwarder.unconfirmedCancellations(),
             cancelledRuns = work.runner.unconfirmedStops(),
             evacuated = host.evacuated,
+            backlog = work.dispatch.backlog(),
         )
     }
 
