Test a fleet process against clients that exceed limits

Change: the tests, a stub of store and worker over HTTP, and the settings memoryMb and maxDescriptors, which are read and have no effect yet.

--- a/src/main/kotlin/dandelionpoint/settings/FleetSettings.kt
+++ b/src/main/kotlin/dandelionpoint/settings/FleetSettings.kt
@@ -17,6 +17,8 @@
  * @property leaseMs longest lease that workers grant, in ms
  * @property cpuShare share of each processor core that this VM has, above 0 and at most 1
  * @property cores number of processor cores of this VM
+ * @property memoryMb memory that this VM's process may use, in MB
+ * @property maxDescriptors number of file descriptors that this VM's process may have open
  * @property graceSeconds time from the signal to stop until the process is killed from outside, in seconds
  */
 internal data class FleetSettings(
@@ -32,6 +34,8 @@
     val graceSeconds: Double = DEFAULT_GRACE_SECONDS,
     val cpuShare: Double = DEFAULT_CPU_SHARE,
     val cores: Int = DEFAULT_CORES,
+    val memoryMb: Int = DEFAULT_MEMORY_MB,
+    val maxDescriptors: Int = DEFAULT_MAX_DESCRIPTORS,
 ) {
     /** Processor share of this VM in thousandths of a core: work is spread over the VMs in proportion to it. */
     val cpuMilli: Int get() = (cpuShare * cores * MILLI).toInt().coerceAtLeast(1)
@@ -46,11 +50,19 @@
         "leaseMs" to (changed.leaseMs != leaseMs),
         "cpuShare" to (changed.cpuShare != cpuShare),
         "cores" to (changed.cores != cores),
+        "memoryMb" to (changed.memoryMb != memoryMb),
+        "maxDescriptors" to (changed.maxDescriptors != maxDescriptors),
     ).filter { (_, differs) -> differs }.map { (name, _) -> name }
 
     companion object {
         const val DEFAULT_CPU_SHARE = 1.0
         const val DEFAULT_CORES = 1
+
+        /** Least memory that the platform gives to an entry VM, in MB. */
+        const val DEFAULT_MEMORY_MB = 160
+
+        /** Least number of descriptors that the platform gives to an entry VM. */
+        const val DEFAULT_MAX_DESCRIPTORS = 2_212
         private const val MILLI = 1_000
         const val DEFAULT_LEASE_MS = 1_000
         const val DEFAULT_GRACE_SECONDS = 6.0
@@ -62,6 +74,9 @@
 private const val MAX_GRACE_SECONDS = 600.0
 private const val MIN_CPU_SHARE = 0.001
 private const val MAX_CORES = 1_024
+private const val MAX_MEMORY_MB = 1_048_576
+private const val MIN_DESCRIPTORS = 300
+private const val MAX_DESCRIPTORS = 1_048_576
 private const val NAME_RULE = "1 to 64 letters, digits, dots, hyphens or underscores"
 private val NAME_PATTERN = Regex("[A-Za-z0-9._-]{1,64}")
 
@@ -79,6 +94,8 @@
     graceSeconds = decimal("graceSeconds", 1.0..MAX_GRACE_SECONDS, "number of seconds", FleetSettings.DEFAULT_GRACE_SECONDS),
     cpuShare = decimal("cpuShare", MIN_CPU_SHARE..1.0, "share of a core, above 0 and at most 1", FleetSettings.DEFAULT_CPU_SHARE),
     cores = integer("cores", 1..MAX_CORES, "number of cores", FleetSettings.DEFAULT_CORES),
+    memoryMb = integer("memoryMb", FleetSettings.DEFAULT_MEMORY_MB..MAX_MEMORY_MB, "MB", FleetSettings.DEFAULT_MEMORY_MB),
+    maxDescriptors = integer("maxDescriptors", MIN_DESCRIPTORS..MAX_DESCRIPTORS, "descriptors", FleetSettings.DEFAULT_MAX_DESCRIPTORS),
 )
 
 private fun Fields.hostAndPort(key: String): HostAndPort =
--- a/src/test/kotlin/dandelionpoint/endtoend/ChildProcess.kt
+++ b/src/test/kotlin/dandelionpoint/endtoend/ChildProcess.kt
@@ -16,6 +16,7 @@
 /** A child process; [close] kills it if it is still running. */
 internal class ChildProcess private constructor(private val process: Process, private val output: Path) : AutoCloseable {
     val isAlive: Boolean get() = process.isAlive
+    val pid: Long get() = process.pid()
 
     /** Waits for the JSON line that a command prints when it is ready. */
     suspend fun awaitReadyLine(): JsonObject = withTimeout(READY_TIMEOUT) {
@@ -67,12 +68,12 @@
         private val READY_TIMEOUT = 60.seconds
 
         /** Small heaps and C1 compilation only, because the tests run several JVMs at once on machines that also run builds. */
-        private val JVM_OPTIONS = listOf("-Xmx192m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
+        val JVM_OPTIONS = listOf("-Xmx192m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
 
-        /** Starts the program with the command line [arguments]; its output goes to `<name>.log` in [directory]. */
-        fun start(directory: Path, name: String, arguments: List<String>): ChildProcess {
+        /** Starts the program with the command line [arguments] and [jvmOptions]; its output goes to `<name>.log` in [directory]. */
+        fun start(directory: Path, name: String, arguments: List<String>, jvmOptions: List<String> = JVM_OPTIONS): ChildProcess {
             val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
-            val command = listOf(java) + JVM_OPTIONS + listOf("-cp", System.getProperty("java.class.path"), MAIN_CLASS) + arguments
+            val command = listOf(java) + jvmOptions + listOf("-cp", System.getProperty("java.class.path"), MAIN_CLASS) + arguments
             val output = Files.createFile(directory.resolve("$name.log"))
             val process = ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output.toFile()).start()
             return ChildProcess(process, output)
