Limit what clients of a fleet process may hold

Change: one budget for all clients from the memory and the descriptors (ClientBudget); Jetty's core server instead of the servlet layer, so that no thread waits for a client; Jetty's NetworkConnectionLimit; limits on header fields, values of a body, time for a request and for an answer; a listener with threads of its own for the readiness check; a first frame of at most 16 KB between VMs.

--- a/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
@@ -3,12 +3,13 @@
 import arrow.core.Either
 import dandelionpoint.fleet.FleetVm
 import dandelionpoint.fleet.startEventLoopThread
-import dandelionpoint.platform.ListenAddress
 import dandelionpoint.platform.PlatformClients
 import dandelionpoint.platform.platformPorts
 import dandelionpoint.settings.FleetSettings
 import dandelionpoint.settings.HostAndPort
 import dandelionpoint.settings.SettingsReader
+import dandelionpoint.transport.http.ClientLimits
+import dandelionpoint.transport.http.ListenAddress
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -57,7 +58,7 @@
         // All loops of the VM run on one thread: a VM has at most a few processor cores, and handing work from thread to thread would
         // cost it more than the work itself. Blocking calls run on threads of their own.
         val vm = FleetVm(settings, platformPorts(settings.store.toString()), context = startEventLoopThread("fleet"))
-        val clients = PlatformClients(vm, vm.scope, settings.clients.listen(), settings.readiness?.listen())
+        val clients = PlatformClients(vm, vm.scope, settings.clients.listen(), settings.readiness?.listen(), limitsOf(settings))
         runBlocking { vm.start() }
         vm.pollClients = clients::poll
         clients.start()
@@ -95,6 +96,8 @@
         null
     }
 
+    private fun limitsOf(settings: FleetSettings) = ClientLimits.of(settings.memoryMb, Runtime.getRuntime().maxMemory(), settings.sockets)
+
     private fun HostAndPort.listen() = ListenAddress(host, port)
 
     private fun stopOnSignal(vm: FleetVm, clients: PlatformClients) {
--- a/src/main/kotlin/dandelionpoint/cli/FleetDemoCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/FleetDemoCommand.kt
@@ -3,7 +3,6 @@
 import arrow.core.getOrElse
 import dandelionpoint.fleet.FleetVm
 import dandelionpoint.fleet.startEventLoopThread
-import dandelionpoint.platform.ListenAddress
 import dandelionpoint.platform.PlatformClients
 import dandelionpoint.platform.encodeJob
 import dandelionpoint.platform.platformPorts
@@ -17,6 +16,7 @@
 import dandelionpoint.transport.http.HttpChannel
 import dandelionpoint.transport.http.HttpChannelSettings
 import dandelionpoint.transport.http.HttpOutcome
+import dandelionpoint.transport.http.ListenAddress
 import dandelionpoint.transport.http.OneShotBody
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -69,7 +69,7 @@
     context: CoroutineContext = Dispatchers.Default,
     random: Random = Random.Default,
     transport: PeerTransportFactory = { scope, handler, events, uptime ->
-        PeerNetwork(scope, CLUSTER, handler, events, uptime = uptime)
+        PeerNetwork(scope, CLUSTER, handler, events, uptime = uptime, maxInbound = settings.maxPeerConnections)
     },
 ) : FleetJobService {
     /** Scope of all loops of this VM; [close] cancels it. */
--- a/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
@@ -3,145 +3,201 @@
 
 import dandelionpoint.fleet.CancellationSignal
 import dandelionpoint.fleet.FleetJobService
+import dandelionpoint.protocol.MAX_JSON_NESTING
 import dandelionpoint.protocol.fleet.JobOutcome
 import dandelionpoint.protocol.fleet.QueueRoute
+import dandelionpoint.transport.http.BodyListener
+import dandelionpoint.transport.http.BodyReader
+import dandelionpoint.transport.http.ClientBudget
 import dandelionpoint.transport.http.ClientDisconnectMonitor
+import dandelionpoint.transport.http.ClientExchange
+import dandelionpoint.transport.http.ClientLimit
+import dandelionpoint.transport.http.ClientLimitLog
+import dandelionpoint.transport.http.ClientLimits
+import dandelionpoint.transport.http.LimitedServer
+import dandelionpoint.transport.http.ListenAddress
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.javalin.Javalin
-import io.javalin.http.Context
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.future.future
+import kotlinx.coroutines.launch
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
-import org.eclipse.jetty.server.HttpConfiguration
-import org.eclipse.jetty.server.HttpConnectionFactory
-import org.eclipse.jetty.server.ServerConnector
-import org.eclipse.jetty.util.thread.QueuedThreadPool
 
 private val log = KotlinLogging.logger {}
 
-/** Address on which a server listens. */
-internal data class ListenAddress(val host: String, val port: Int)
-
-/** HTTP server for clients at [clients] and for the readiness check at [readiness]. */
+/**
+ * HTTP server for clients at [clients] and for the readiness check at [readiness], or at [clients] too if that is null. What clients may
+ * send and hold is limited by [limits]; the readiness check has a listener, threads and limits of its own.
+ */
 internal class PlatformClients(
     private val service: FleetJobService,
     private val scope: CoroutineScope,
-    private val clients: ListenAddress,
-    private val readiness: ListenAddress?,
+    clients: ListenAddress,
+    readiness: ListenAddress?,
+    limits: ClientLimits = ClientLimits(),
 ) {
     private val watch = ClientDisconnectMonitor()
-
-    private val server: Javalin = Javalin.create { config ->
-        config.startup.showJavalinBanner = false
-        // The version check formats a date, and the watcher is a thread that warns if the server is not started soon.
-        config.startup.showOldJavalinVersionWarning = false
-        config.startup.startupWatcherEnabled = false
-        config.http.maxRequestSize = MAX_BODY_BYTES
-        config.jetty.threadPool = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
-        config.jetty.modifyHttpConfiguration { it.sendServerVersion = false }
-        readiness?.let { address ->
-            config.jetty.addConnector { server, _ ->
-                ServerConnector(server, 1, 1, HttpConnectionFactory(HttpConfiguration())).apply {
-                    host = address.host
-                    port = address.port
-                }
-            }
-        }
-        config.jetty.addConnector { server, settings ->
-            ServerConnector(server, 1, 1, HttpConnectionFactory(settings)).apply {
-                host = clients.host
-                port = clients.port
-                idleTimeout = IDLE_TIMEOUT_MS
-            }
-        }
-        config.routes.get(READINESS) { it.status(if (service.isReady) OK else UNAVAILABLE) }
-        config.routes.post(ANY_PATH) { submit(it) }
-        config.routes.get(ANY_PATH) { sendStatus(it) }
-        config.routes.delete(ANY_PATH) { cancel(it) }
-        config.routes.exception(Exception::class.java) { e, context ->
-            log.error(e) { "event=request_failed path=${context.path()}" }
-            context.status(INTERNAL_ERROR)
-        }
+    private val limitLog = ClientLimitLog()
+    private val budget = ClientBudget(limits, limitLog::onReached)
+    private val server = LimitedServer(clients, MAX_THREADS, limits.connections, budget, ::handle)
+    private val readinessServer = readiness?.let { address ->
+        LimitedServer(
+            address,
+            MAX_READINESS_THREADS,
+            limits.readinessConnections,
+            ClientBudget(limits, limitLog::onReached),
+            ::handleReadiness,
+        )
     }
+    private var lastSweepNs = System.nanoTime()
 
     /** Requests in progress. */
     fun open(): Int = watch.open()
 
-    /** Checks the open connections and cancels the jobs of clients that have closed theirs. */
-    fun poll() = watch.poll()
+    /** How often clients have reached each limit. */
+    fun reachedLimits(): Map<ClientLimit, Long> = limitLog.counts()
+
+    /** Checks the open connections, cancels the jobs of clients that have closed theirs, and ends requests that are too slow. */
+    fun poll() {
+        watch.poll()
+        val now = System.nanoTime()
+        if (now - lastSweepNs < SWEEP_INTERVAL_NS) return
+        lastSweepNs = now
+        servers().forEach { it.closeSlow(now) }
+    }
+
+    private fun servers() = listOfNotNull(server, readinessServer)
 
     /** Binds and serves; port 0 takes any free one. Returns the clients' port. */
     fun start(): Int {
-        server.start()
-        return server.jettyServer().server().connectors.filterIsInstance<ServerConnector>().last().localPort
+        readinessServer?.start()
+        return server.start()
     }
 
     /** Accepts no more connections, closes those without a request in progress, and waits up to [waitMs] ms for the others. */
     suspend fun finish(waitMs: Long) {
-        val connectors = server.jettyServer().server().connectors.filterIsInstance<ServerConnector>()
-        connectors.forEach { it.close() }
+        servers().forEach { it.closeListener() }
         val latest = System.nanoTime() + waitMs * NANOS_PER_MS
         do {
-            connectors.flatMap { it.connectedEndPoints }.filterNot { watch.isBusy(it) }.forEach { it.close() }
+            servers().flatMap { it.endPoints }.filterNot { watch.isBusy(it) }.forEach { it.close() }
             delay(FINISH_POLL_MS)
         } while (open() > 0 && System.nanoTime() < latest)
     }
 
-    fun stop() {
-        server.stop()
+    fun stop() = servers().forEach { it.stop() }
+
+    private fun handle(exchange: ClientExchange) = try {
+        when (exchange.method) {
+            "GET", "HEAD" -> if (exchange.path == READINESS) sendReadiness(exchange) else sendStatus(exchange)
+            "POST" -> submit(exchange)
+            "DELETE" -> cancel(exchange)
+            else -> sendError(exchange, NOT_FOUND, "no such method")
+        }
+    } catch (e: Exception) {
+        onFailure(exchange, e)
+    }
+
+    private fun onFailure(exchange: ClientExchange, e: Throwable) {
+        log.error(e) { "event=request_failed path=${exchange.path}" }
+        exchange.send(INTERNAL_ERROR)
     }
 
-    private fun routeOf(context: Context): QueueRoute? {
-        if (service.isStopping) context.header("Connection", "close")
+    private fun handleReadiness(exchange: ClientExchange) =
+        if (exchange.path == READINESS) sendReadiness(exchange) else sendError(exchange, NOT_FOUND, "no such path")
+
+    private fun sendReadiness(exchange: ClientExchange) = exchange.send(if (service.isReady) OK else UNAVAILABLE)
+
+    private fun routeOf(context: ClientExchange): QueueRoute? {
+        if (service.isStopping) context.closeAfterwards()
         if (!service.hasConfiguration) {
             sendError(context, UNAVAILABLE, "no configuration yet")
             return null
         }
-        val route = service.route(context.host().orEmpty().substringBefore(':'), context.path())
+        val route = service.route(context.host, context.path)
         if (route == null) sendError(context, NOT_FOUND, "no such queue")
         return route
     }
 
-    private fun submit(context: Context) {
+    /** Begins to read the body, unless the job would be refused anyway. */
+    private fun submit(context: ClientExchange) {
         val route = routeOf(context) ?: return
-        val id = context.path().removePrefix(route.pathPrefix)
+        val id = context.path.removePrefix(route.pathPrefix)
         if (!ID.matches(id)) return sendError(context, BAD_REQUEST, "the id must be 16 hexadecimal digits")
-        when (val body = decodeJob(id, context.bodyAsBytes())) {
-            is SubmittedBody.Malformed -> sendError(context, BAD_REQUEST, body.reason)
-            is SubmittedBody.Unsupported -> sendError(context, UNAVAILABLE, "not served: ${body.feature}")
-            is SubmittedBody.BestEffort -> run(context, route, body)
+        val submission = Submission(context, route, id)
+        if (context.request.length > budget.limits.bodyBytes) return submission.onTooLong()
+        BodyReader(context.request, context.connection, budget.limits.bodyBytes, submission).start()
+    }
+
+    /** A submission whose body is being read. */
+    private inner class Submission(private val context: ClientExchange, private val route: QueueRoute, private val id: String) :
+        BodyListener {
+        override fun onBody(bytes: ByteArray) = try {
+            parse(bytes)
+        } catch (e: Exception) {
+            onFailure(context, e)
+        }
+
+        /** Parses the body once the budget has room for its tree, and keeps only what the job takes. */
+        private fun parse(bytes: ByteArray) {
+            val (values, depth) = jsonShape(bytes)
+            if (depth > MAX_JSON_NESTING) return sendError(context, BAD_REQUEST, "the body is nested too deeply")
+            if (values > budget.limits.jsonValues) {
+                budget.onReached(ClientLimit.JSON_VALUES)
+                return sendError(context, TOO_LONG, "not run: the body has more than ${budget.limits.jsonValues} values")
+            }
+            val holding = context.connection.holding
+            if (!holding.setParsed(treeBytes(bytes.size, values))) return onNoRoom()
+            when (val body = decodeJob(id, bytes)) {
+                is SubmittedBody.Malformed -> sendError(context, BAD_REQUEST, body.reason)
+                is SubmittedBody.Unsupported -> sendError(context, UNAVAILABLE, "not served: ${body.feature}")
+                is SubmittedBody.BestEffort -> if (holding.setParsed(jobBytes(body.job))) run(context, route, body) else onNoRoom()
+            }
+        }
+
+        override fun onTooLong() {
+            budget.onReached(ClientLimit.BODY_BYTES)
+            sendError(context, TOO_LONG, "not run: the body is longer than ${budget.limits.bodyBytes} bytes")
+        }
+
+        override fun onNoRoom() {
+            context.setHeader("Retry-After", "1")
+            sendError(context, UNAVAILABLE, "not run: too many requests")
         }
+
+        override fun onTooSlow() {
+            context.closeAfterwards()
+            sendError(context, TOO_SLOW, "not run: the request was not complete within ${budget.limits.receiveMs} ms")
+        }
+
+        override fun onFailure(cause: Throwable) = context.fail(cause)
     }
 
-    private fun run(context: Context, route: QueueRoute, body: SubmittedBody.BestEffort) {
+    private fun run(context: ClientExchange, route: QueueRoute, body: SubmittedBody.BestEffort) {
         val waitMs = (context.header("Deadline-Remaining-Ms")?.toLongOrNull() ?: DEFAULT_WAIT_MS).coerceIn(0, MAX_WAIT_MS)
         val signal = CancellationSignal()
-        val entry = watch.watch(context.req()) { signal.cancel() }
+        val entry = watch.watch(context.connection.endPoint) { signal.cancel() }
             ?: return sendError(context, UNAVAILABLE, "not run: the client has disconnected")
-        context.future {
-            scope.future {
-                try {
-                    service.run(body.job, route.queue, waitMs, signal)
-                } finally {
-                    entry.end()
-                }
-            }.thenAccept { outcome ->
-                if (entry.mustClose) context.header("Connection", "close")
-                sendOutcome(context, outcome)
-            }
+        context.keepWhileWaiting()
+        scope.launch {
+            val outcome = runCatching { service.run(body.job, route.queue, waitMs, signal) }
+            entry.end()
+            if (entry.mustClose) context.closeAfterwards()
+            outcome.onSuccess { sendOutcome(context, it) }.onFailure { onFailure(context, it) }
+        }.invokeOnCompletion {
+            // Without effect unless the scope was cancelled before the job was run.
+            entry.end()
+            context.send(INTERNAL_ERROR)
         }
     }
 
-    private fun sendOutcome(context: Context, outcome: JobOutcome) {
+    private fun sendOutcome(context: ClientExchange, outcome: JobOutcome) {
         when (outcome) {
             is JobOutcome.Completed -> sendState(context, "completed")
 
             is JobOutcome.Failed -> sendState(context, "failed")
 
             is JobOutcome.NotRun -> {
-                context.header("Retry-After", ((outcome.retryAfterMs + MS_PER_S - 1) / MS_PER_S).toString())
+                context.setHeader("Retry-After", ((outcome.retryAfterMs + MS_PER_S - 1) / MS_PER_S).toString())
                 sendError(context, UNAVAILABLE, "not run: ${outcome.reason}")
             }
 
@@ -149,9 +205,9 @@
         }
     }
 
-    private fun sendStatus(context: Context) {
+    private fun sendStatus(context: ClientExchange) {
         val route = routeOf(context) ?: return
-        val id = context.path().removePrefix(route.pathPrefix)
+        val id = context.path.removePrefix(route.pathPrefix)
         when {
             id.isEmpty() -> sendJson(context, buildJsonObject { put("pending", service.waitingJobs(route.queue.name)) }.toString())
             service.hasJob(id) -> sendState(context, "running")
@@ -159,30 +215,28 @@
         }
     }
 
-    private fun cancel(context: Context) {
+    private fun cancel(context: ClientExchange) {
         val route = routeOf(context) ?: return
-        val id = context.path().removePrefix(route.pathPrefix)
+        val id = context.path.removePrefix(route.pathPrefix)
         if (service.cancel(id)) sendState(context, "cancelled") else sendError(context, GONE, "no such job")
     }
 
-    private fun sendState(context: Context, state: String) = sendJson(context, buildJsonObject { put("state", state) }.toString())
+    private fun sendState(context: ClientExchange, state: String) = sendJson(context, buildJsonObject { put("state", state) }.toString())
 
-    private fun sendError(context: Context, status: Int, reason: String) {
-        context.status(status)
-        sendJson(context, buildJsonObject { put("error", reason) }.toString())
-    }
+    private fun sendError(context: ClientExchange, status: Int, reason: String) =
+        context.send(status, buildJsonObject { put("error", reason) }.toString())
 
-    private fun sendJson(context: Context, body: String) {
-        context.contentType("application/json").result(body)
-    }
+    private fun sendJson(context: ClientExchange, body: String) = context.send(OK, body)
 
     private companion object {
         const val READINESS = "/v1/readiness"
-        const val ANY_PATH = "/<path>"
-        const val MAX_BODY_BYTES = 262_144L
-        const val MAX_THREADS = 24
-        const val MIN_THREADS = 4
-        const val IDLE_TIMEOUT_MS = 60_000L
+
+        /** No thread waits for a client, so that a few are enough; each may hold the tree of one body. */
+        const val MAX_THREADS = 8
+        const val MAX_READINESS_THREADS = 4
+
+        /** Interval at which requests that are too slow are looked for, in ns. */
+        const val SWEEP_INTERVAL_NS = 500_000_000L
 
         /** Wait for a job whose client has sent no `Deadline-Remaining-Ms`, in ms. */
         const val DEFAULT_WAIT_MS = 10_000L
@@ -195,7 +249,9 @@
         const val OK = 200
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
+        const val TOO_SLOW = 408
         const val GONE = 410
+        const val TOO_LONG = 413
         const val INTERNAL_ERROR = 500
         const val UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
--- a/src/main/kotlin/dandelionpoint/settings/FleetSettings.kt
+++ b/src/main/kotlin/dandelionpoint/settings/FleetSettings.kt
@@ -40,6 +40,12 @@
     /** Processor share of this VM in thousandths of a core: work is spread over the VMs in proportion to it. */
     val cpuMilli: Int get() = (cpuShare * cores * MILLI).toInt().coerceAtLeast(1)
 
+    /** Descriptors that are left for sockets. */
+    val sockets: Int get() = maxDescriptors - FILE_DESCRIPTORS
+
+    /** Connections that other VMs may have opened: a quarter of the sockets, at most 512. */
+    val maxPeerConnections: Int get() = minOf(MAX_PEER_CONNECTIONS, sockets / PEER_SHARE)
+
     /** Names of the settings that differ in [changed] and are only read at the start of a VM. */
     fun fixedSettingsChangedIn(changed: FleetSettings): List<String> = listOf(
         "name" to (changed.name != name),
@@ -64,6 +70,11 @@
         /** Least number of descriptors that the platform gives to an entry VM. */
         const val DEFAULT_MAX_DESCRIPTORS = 2_212
         private const val MILLI = 1_000
+        private const val MAX_PEER_CONNECTIONS = 512
+        private const val PEER_SHARE = 4
+
+        /** Descriptors for files, class files and the store. */
+        private const val FILE_DESCRIPTORS = 200
         const val DEFAULT_LEASE_MS = 1_000
         const val DEFAULT_GRACE_SECONDS = 6.0
     }
@@ -74,6 +85,7 @@
 private const val MAX_GRACE_SECONDS = 600.0
 private const val MIN_CPU_SHARE = 0.001
 private const val MAX_CORES = 1_024
+private const val MIN_MEMORY_MB = 128
 private const val MAX_MEMORY_MB = 1_048_576
 private const val MIN_DESCRIPTORS = 300
 private const val MAX_DESCRIPTORS = 1_048_576
@@ -94,10 +106,19 @@
     graceSeconds = decimal("graceSeconds", 1.0..MAX_GRACE_SECONDS, "number of seconds", FleetSettings.DEFAULT_GRACE_SECONDS),
     cpuShare = decimal("cpuShare", MIN_CPU_SHARE..1.0, "share of a core, above 0 and at most 1", FleetSettings.DEFAULT_CPU_SHARE),
     cores = integer("cores", 1..MAX_CORES, "number of cores", FleetSettings.DEFAULT_CORES),
-    memoryMb = integer("memoryMb", FleetSettings.DEFAULT_MEMORY_MB..MAX_MEMORY_MB, "MB", FleetSettings.DEFAULT_MEMORY_MB),
-    maxDescriptors = integer("maxDescriptors", MIN_DESCRIPTORS..MAX_DESCRIPTORS, "descriptors", FleetSettings.DEFAULT_MAX_DESCRIPTORS),
+    memoryMb = amount("memoryMb", MIN_MEMORY_MB..MAX_MEMORY_MB, "number of MB", FleetSettings.DEFAULT_MEMORY_MB),
+    maxDescriptors = amount(
+        "maxDescriptors",
+        MIN_DESCRIPTORS..MAX_DESCRIPTORS,
+        "number of descriptors",
+        FleetSettings.DEFAULT_MAX_DESCRIPTORS,
+    ),
 )
 
+/** Reads a number that the platform may write with a fraction, such as 512.0. */
+private fun Fields.amount(key: String, range: IntRange, unit: String, default: Int): Int =
+    decimal(key, range.first.toDouble()..range.last.toDouble(), unit, default.toDouble()).toInt()
+
 private fun Fields.hostAndPort(key: String): HostAndPort =
     parseHostAndPort(text(key, ADDRESS) { parseHostAndPort(it) != null }) ?: HostAndPort("0.0.0.0", 0)
 
--- a/src/main/kotlin/dandelionpoint/transport/http/ClientDisconnectMonitor.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/ClientDisconnectMonitor.kt
@@ -5,8 +5,6 @@
  */
 package dandelionpoint.transport.http
 
-import jakarta.servlet.http.HttpServletRequest
-import org.eclipse.jetty.ee10.servlet.ServletContextRequest
 import org.eclipse.jetty.io.EndPoint
 import java.io.IOException
 import java.nio.ByteBuffer
@@ -48,12 +46,11 @@
     private val entries = ConcurrentHashMap.newKeySet<Entry>()
 
     /**
-     * Adds the connection of [request] to those that are polled. [onDisconnect] is called once if the client closes it. Returns null if the
-     * client has closed it already.
+     * Adds the connection at [endPoint] to those that are polled. [onDisconnect] is called once if the client closes it. Returns null if
+     * the client has closed it already.
      */
-    fun watch(request: HttpServletRequest, onDisconnect: () -> Unit): Entry? {
-        val endPoint = ServletContextRequest.getServletContextRequest(request)?.connectionMetaData?.connection?.endPoint
-        val entry = Entry(endPoint?.transport as? SocketChannel, onDisconnect)
+    fun watch(endPoint: EndPoint, onDisconnect: () -> Unit): Entry? {
+        val entry = Entry(endPoint.transport as? SocketChannel, onDisconnect)
         if (!entry.isConnected()) return null
         entries.add(entry)
         return entry
--- a/src/main/kotlin/dandelionpoint/transport/peer/FrameCodec.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/FrameCodec.kt
@@ -46,10 +46,10 @@
         throw FrameException("frame ends early: ${e.message?.take(MAX_REASON_CHARS)}", e)
     }
 
-    /** Waits for the next frame and returns it. */
-    suspend fun read(channel: ByteReadChannel): RawFrame {
+    /** Waits for the next frame, whose body has at most [limit] bytes, and returns it. */
+    suspend fun read(channel: ByteReadChannel, limit: Int = maxBytes): RawFrame {
         val length = channel.readInt()
-        val lengths = TIMES_BYTES..TIMES_BYTES + maxBytes
+        val lengths = TIMES_BYTES..TIMES_BYTES + limit
         if (length !in lengths) throw FrameException("frame length $length is outside ${lengths.first} to ${lengths.last}")
         // Most frames arrive whole, so that reading them needs no timer.
         if (channel.availableForRead >= length) return readParts(channel, length)
@@ -74,6 +74,12 @@
         /** Largest body of a frame, in bytes. */
         const val MAX_FRAME_BYTES = 8 * 1024 * 1024
 
+        /**
+         * Largest body of the first frame of a connection, in bytes. Any process can send one, and it names at most nine VMs, each with
+         * less than 500 bytes.
+         */
+        const val MAX_HELLO_BYTES = 16 * 1024
+
         /** Size of the times at the head of a frame, in bytes. */
         const val TIMES_BYTES = 2 * Int.SIZE_BYTES
         private const val BODY_TIMEOUT_MS = 10_000L
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerConnection.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerConnection.kt
@@ -76,7 +76,7 @@
         val answer =
             withTimeout(HELLO_TIMEOUT_MS) {
                 codec.write(output, RawFrame(local.stamps.timesFor(null), codec.encode(PeerFrame(0, message = hello))))
-                codec.read(input)
+                codec.read(input, limit = FrameCodec.MAX_HELLO_BYTES)
             }
         val message = codec.decode(answer.body).message
         val vm = (message as? PeerMessage.Hello)?.vm
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -40,7 +40,10 @@
     fun refused(address: PeerAddress) = Unit
 }
 
-/** All peer connections of this VM. [handler] gets the messages from all peers; it and [events] are called from several threads. */
+/**
+ * All peer connections of this VM, at most [maxInbound] of them opened by peers. [handler] gets the messages from all peers; it and [events]
+ * are called from several threads.
+ */
 internal class PeerNetwork(
     private val scope: CoroutineScope,
     private val cluster: String,
@@ -48,6 +51,7 @@
     private val events: PeerEvents,
     private val codec: FrameCodec = FrameCodec(),
     uptime: UptimeClock = UptimeClock(Clock.System),
+    private val maxInbound: Int = MAX_INBOUND_CONNECTIONS,
 ) : PeerTransport {
     /** Counts of frames and bytes. */
     val traffic = PeerTraffic()
@@ -63,6 +67,10 @@
     /** Number of inbound connections, including those whose handshake is not complete. */
     private val inboundCount = AtomicInteger()
 
+    /** Number of inbound connections whose handshake is not complete. */
+    private val handshakes = AtomicInteger()
+    private val refusals = RefusalLog()
+
     /** Inbound connections that have completed the handshake. */
     private val inboundConnections = ConcurrentHashMap.newKeySet<PeerConnection>()
     private lateinit var server: ServerSocket
@@ -78,8 +86,7 @@
         scope.launch {
             while (isActive) {
                 val socket = runCatching { server.accept() }.getOrElse { return@launch }
-                if (inboundCount.incrementAndGet() > MAX_INBOUND_CONNECTIONS) {
-                    inboundCount.decrementAndGet()
+                if (!admit()) {
                     socket.close()
                 } else {
                     launch { serveInbound(PeerConnection(socket, local, codec, handler, traffic)) }
@@ -88,9 +95,26 @@
         }
     }
 
+    /**
+     * Counts an accepted connection; false if there are too many. A part of them may be in the handshake, so that processes which open
+     * connections and send nothing leave some to peers.
+     */
+    private fun admit(): Boolean {
+        val isAdmitted = inboundCount.incrementAndGet() <= maxInbound && handshakes.get() < maxInbound / HANDSHAKE_SHARE
+        if (isAdmitted) handshakes.incrementAndGet() else inboundCount.decrementAndGet()
+        if (!isAdmitted) refusals.onRefused("inbound", "too many connections")
+        return isAdmitted
+    }
+
+    private suspend fun greet(connection: PeerConnection) = try {
+        connection.handshake()
+    } finally {
+        handshakes.decrementAndGet()
+    }
+
     private suspend fun serveInbound(connection: PeerConnection) {
         try {
-            connection.handshake().forEach { connect(PeerAddress(it.host, it.port)) }
+            greet(connection).forEach { connect(PeerAddress(it.host, it.port)) }
             connect(PeerAddress(connection.remote.host, connection.remote.port))
             inboundConnections += connection
             connection.serve(scope)
@@ -157,7 +181,7 @@
 
     private fun logConnectionEnd(side: String, cause: Exception) {
         if (cause is FrameException) {
-            log.warn { "event=peer_refused connection=\"$side\" reason=\"${cause.message}\"" }
+            refusals.onRefused(side, cause.message)
         } else {
             log.debug { "event=peer_connection_ended connection=\"$side\" reason=\"${cause.message}\"" }
         }
@@ -203,6 +227,9 @@
         const val REFUSED = "refused"
         const val MAX_INBOUND_CONNECTIONS = 512
 
+        /** This part of the inbound connections may be in the handshake. */
+        const val HANDSHAKE_SHARE = 2
+
         /** Number of peers that the first frame of a connection names: enough to find all others, while the frame stays small. */
         const val MAX_KNOWN_IN_HELLO = 8
         const val CONNECT_TIMEOUT_MS = 1_000L
--- a/src/test/kotlin/dandelionpoint/endtoend/ClientLimitsTest.kt
+++ b/src/test/kotlin/dandelionpoint/endtoend/ClientLimitsTest.kt
@@ -6,6 +6,7 @@
 import dandelionpoint.endtoend.CrowdRequests.job
 import dandelionpoint.endtoend.CrowdRequests.post
 import dandelionpoint.endtoend.CrowdRequests.unfinishedChunks
+import dandelionpoint.protocol.fleet.TaskRef
 import io.kotest.core.spec.style.DescribeSpec
 import java.nio.ByteBuffer
 
@@ -32,18 +33,19 @@
 
 /** Has a VM of its own, whose job that it accepted before [misuse] is still run; what has to hold is checked while the crowd is there. */
 private suspend fun holdsAgainst(misuse: (LimitedVm, (ClientCrowd) -> ClientCrowd) -> Unit) {
+    val runMs = { task: TaskRef -> if (task.jobId == LimitedVm.LONG_JOB) LimitedVm.RUN_MS else LimitedVm.SHORT_RUN_MS }
+    PlatformStubs(runMs).use { stubs -> LimitedVm(stubs).use { holds(it, misuse) } }
+}
+
+private suspend fun holds(vm: LimitedVm, misuse: (LimitedVm, (ClientCrowd) -> ClientCrowd) -> Unit) {
     val crowds = mutableListOf<ClientCrowd>()
-    PlatformStubs { if (it.jobId == LimitedVm.LONG_JOB) LimitedVm.RUN_MS else LimitedVm.SHORT_RUN_MS }.use { stubs ->
-        LimitedVm(stubs).use { vm ->
-            try {
-                vm.awaitServing()
-                val accepted = vm.submitAcceptedJob()
-                misuse(vm) { crowd -> crowd.also { crowds += it } }
-                vm.shouldHold(accepted)
-            } finally {
-                crowds.forEach { it.close() }
-            }
-        }
+    try {
+        vm.awaitServing()
+        val accepted = vm.submitAcceptedJob()
+        misuse(vm) { crowd -> crowd.also { crowds += it } }
+        vm.shouldHold(accepted)
+    } finally {
+        crowds.forEach { it.close() }
     }
 }
 
--- a/src/test/kotlin/dandelionpoint/endtoend/PlatformStubs.kt
+++ b/src/test/kotlin/dandelionpoint/endtoend/PlatformStubs.kt
@@ -210,6 +210,7 @@
         private const val PRECONDITION_FAILED = 412
         private val EMPTY = buildJsonObject { }
         private const val CONFIGURATION =
-            """{"version":1,"routes":[{"name":"q","service":"$POOL","host":"$ROUTE_HOST","path_prefix":"$PREFIX","max_attempts":2,"stretch":2,"latency_target_ms":400}]}"""
+            """{"version":1,"routes":[{"name":"q","service":"$POOL","host":"$ROUTE_HOST","path_prefix":"$PREFIX",""" +
+                """"max_attempts":2,"stretch":2,"latency_target_ms":400}]}"""
     }
 }
--- a/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
@@ -8,6 +8,7 @@
 import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.JobStep
 import dandelionpoint.protocol.fleet.QueueRoute
+import dandelionpoint.transport.http.ListenAddress
 import io.kotest.assertions.nondeterministic.continually
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
--- a/src/test/kotlin/dandelionpoint/settings/FleetSettingsTest.kt
+++ b/src/test/kotlin/dandelionpoint/settings/FleetSettingsTest.kt
@@ -52,6 +52,19 @@
                 }
             }
 
+            // Guards against a VM that does not start because the platform writes its memory with a fraction.
+            it("give the memory and the descriptors, those of the smallest VM if there are none") {
+                fun with(members: String) = read(VALID.replace("\"graceSeconds\"", "$members, \"graceSeconds\""))
+                val least = read(VALID).shouldBeInstanceOf<Either.Right<FleetSettings>>().value
+                least.memoryMb shouldBe 160
+                least.sockets shouldBe 2_012
+                least.maxPeerConnections shouldBe 503
+                val given = with("\"memoryMb\": 682.0, \"maxDescriptors\": 10250").shouldBeInstanceOf<Either.Right<FleetSettings>>().value
+                given.memoryMb shouldBe 682
+                given.maxPeerConnections shouldBe 512
+                listOf("\"memoryMb\": 0", "\"maxDescriptors\": 200").forEach { with(it).shouldBeInstanceOf<Either.Left<*>>() }
+            }
+
             it("have every key of the platform's template in the sample, and the sample is valid") {
                 val keys = { path: String ->
                     Regex("\"([A-Za-z]+)\":").findAll(Files.readString(Path.of(path))).map { it.groupValues[1] }.toSet()
