--- a/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
@@ -125,6 +125,10 @@
         if (!ID.matches(id)) return sendError(context, BAD_REQUEST, "the id must be 16 hexadecimal digits")
         val submission = Submission(context, route, id)
         if (context.request.length > budget.limits.bodyBytes) return submission.onTooLong()
+        if (budget.parsed.isFull()) {
+            budget.onReached(ClientLimit.PARSED_BYTES)
+            return submission.onNoRoom()
+        }
         BodyReader(context.request, context.connection, budget.limits.bodyBytes, submission).start()
     }
 
--- a/src/main/kotlin/dandelionpoint/transport/http/ClientBudget.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/ClientBudget.kt
@@ -94,6 +94,9 @@
         if (bytes > 0) held.addAndGet(-bytes)
     }
 
+    /** True if not even a client that holds little finds room. */
+    fun isFull(): Boolean = held.get() + smallBytes > limit
+
     /** What all clients hold. */
     fun held(): Long = held.get()
 
--- a/src/test/kotlin/dandelionpoint/platform/PlatformClientsLimitsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformClientsLimitsTest.kt
@@ -85,8 +85,8 @@
 }
 
 /**
- * Guards against a client beyond a limit that gets no answer or one which does not say that its job has not run, and against a client inside
- * the limits that is refused because of how its request arrives or because of what others hold.
+ * Guards against a client beyond a limit that gets no answer or one which does not say that its job has not run, and against a client
+ * inside the limits that is refused because of how its request arrives or because of what others hold.
  */
 internal class PlatformClientsLimitsTest :
     DescribeSpec({
--- a/src/test/kotlin/dandelionpoint/transport/http/ClientBudgetTest.kt
+++ b/src/test/kotlin/dandelionpoint/transport/http/ClientBudgetTest.kt
@@ -30,6 +30,8 @@
                 repeat(3) { ClientHolding(budget).addUnfinished(8_000) shouldBe true }
                 ClientHolding(budget).addUnfinished(8_000) shouldBe false
                 budget.unfinished.held() shouldBe 98_000
+                budget.unfinished.isFull() shouldBe true
+                budget.parsed.isFull() shouldBe false
             }
 
             it("counts what one client holds in all, so that many small additions give it no more") {
--- a/src/test/kotlin/dandelionpoint/transport/peer/FrameCodecTest.kt
+++ b/src/test/kotlin/dandelionpoint/transport/peer/FrameCodecTest.kt
@@ -45,6 +45,11 @@
                 val header = ByteBuffer.allocate(4).putInt(FrameCodec.TIMES_BYTES + 1_025).array()
                 shouldThrow<FrameException> { codec.read(ByteReadChannel(header)) }
             }
+            // Guards against a process that is no VM and makes this one keep a frame of the size that VMs may send.
+            it("above the size limit of a connection's first frame is refused there") {
+                val header = ByteBuffer.allocate(4).putInt(FrameCodec.TIMES_BYTES + 513).array()
+                shouldThrow<FrameException> { codec.read(ByteReadChannel(header), limit = 512) }
+            }
             it("that is too short for its times is refused") {
                 val header = ByteBuffer.allocate(4).putInt(FrameCodec.TIMES_BYTES - 1).array()
                 shouldThrow<FrameException> { codec.read(ByteReadChannel(header)) }
