--- a/src/main/kotlin/dandelionpoint/transport/http/ClientBudget.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/ClientBudget.kt
@@ -120,10 +120,12 @@
 internal class ClientHolding(private val budget: ClientBudget) {
     private var unfinished = 0L
     private var parsed = 0L
+    private var isClosed = false
 
     /** Adds [bytes] of a request that is not complete; false if they must be refused. */
     @Synchronized
     fun addUnfinished(bytes: Long): Boolean {
+        if (isClosed) return false
         val isAdded = budget.unfinished.add(bytes, unfinished + bytes)
         if (isAdded) unfinished += bytes else budget.onReached(ClientLimit.UNFINISHED_BYTES)
         return isAdded
@@ -132,6 +134,7 @@
     /** Replaces what this client holds in a parsed request by [bytes]; false, without any effect, if they must be refused. */
     @Synchronized
     fun setParsed(bytes: Long): Boolean {
+        if (isClosed) return false
         val more = bytes - parsed
         val isSet = more <= 0 || budget.parsed.add(more, bytes)
         if (more < 0) budget.parsed.remove(-more)
@@ -142,11 +145,19 @@
     /** Removes [bytes] that were added before and are no longer kept. */
     @Synchronized
     fun removeUnfinished(bytes: Long) {
+        if (isClosed) return
         budget.unfinished.remove(bytes)
         unfinished -= bytes
     }
 
-    /** The request is answered, or the connection is closed. */
+    /** The connection is closed: everything is given back, and nothing is added any more by a thread that still handles a request. */
+    @Synchronized
+    fun close() {
+        release()
+        isClosed = true
+    }
+
+    /** The request is answered. */
     @Synchronized
     fun release() {
         budget.unfinished.remove(unfinished)
--- a/src/main/kotlin/dandelionpoint/transport/http/LimitedConnection.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/LimitedConnection.kt
@@ -87,12 +87,8 @@
         }
         uncountedBytes += FIELD_BYTES + field.name.length + field.value.orEmpty().length
         if (uncountedBytes < COUNTED_BYTES) return
-        if (!holding.addUnfinished(
-                uncountedBytes,
-            )
-        ) {
-            throw HttpException.RuntimeException(HttpStatus.SERVICE_UNAVAILABLE_503, "too many requests")
-        }
+        val isAdded = holding.addUnfinished(uncountedBytes)
+        if (!isAdded) throw HttpException.RuntimeException(HttpStatus.SERVICE_UNAVAILABLE_503, "too many requests")
         uncountedBytes = 0
     }
 
@@ -131,7 +127,7 @@
 
     override fun onClose(cause: Throwable?) {
         open -= this
-        holding.release()
+        holding.close()
         super.onClose(cause)
     }
 
--- a/src/test/kotlin/dandelionpoint/transport/http/ClientBudgetTest.kt
+++ b/src/test/kotlin/dandelionpoint/transport/http/ClientBudgetTest.kt
@@ -56,6 +56,19 @@
                 budget.parsed.held() shouldBe 0
             }
 
+            // Guards against an amount that is lost for good because a connection was closed while its request was being read.
+            it("gives nothing to a client whose connection is closed") {
+                val budget = ClientBudget(limits)
+                val client = ClientHolding(budget)
+                client.addUnfinished(5_000)
+                client.close()
+                client.removeUnfinished(5_000)
+                client.addUnfinished(1_000) shouldBe false
+                client.setParsed(1_000) shouldBe false
+                budget.unfinished.held() shouldBe 0
+                budget.parsed.held() shouldBe 0
+            }
+
             it("keeps what a client holds if it is refused more") {
                 val budget = ClientBudget(limits)
                 val client = ClientHolding(budget)
