Read few peer connections at a time before their handshake

Ktor reads ahead from each connection before the first frame is refused.

Change: 4 inbound connections at a time are read before their handshake.

--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -14,6 +14,7 @@
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.port
 import kotlinx.coroutines.CancellationException
@@ -23,6 +24,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
 import kotlinx.coroutines.withTimeout
 import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
@@ -69,6 +72,7 @@
 
     /** Number of inbound connections whose handshake is not complete. */
     private val handshakes = AtomicInteger()
+    private val handshakeSlots = Semaphore(HANDSHAKE_SLOTS)
     private val refusals = RefusalLog()
 
     /** Inbound connections that have completed the handshake. */
@@ -89,7 +93,7 @@
                 if (!admit()) {
                     socket.close()
                 } else {
-                    launch { serveInbound(PeerConnection(socket, local, codec, handler, traffic)) }
+                    launch { serveInbound(socket) }
                 }
             }
         }
@@ -106,15 +110,19 @@
         return isAdmitted
     }
 
-    private suspend fun greet(connection: PeerConnection) = try {
-        connection.handshake()
+    /** Makes the handshake once one of the slots is free; until then nothing is read from the connection. */
+    private suspend fun greet(handshake: suspend () -> List<VmIdentity>): List<VmIdentity> = try {
+        withTimeout(HANDSHAKE_TIMEOUT_MS) { handshakeSlots.withPermit { handshake() } }
     } finally {
         handshakes.decrementAndGet()
     }
 
-    private suspend fun serveInbound(connection: PeerConnection) {
+    private suspend fun serveInbound(socket: Socket) {
+        var opened: PeerConnection? = null
         try {
-            greet(connection).forEach { connect(PeerAddress(it.host, it.port)) }
+            val known = greet { PeerConnection(socket, local, codec, handler, traffic).also { opened = it }.handshake() }
+            val connection = checkNotNull(opened)
+            known.forEach { connect(PeerAddress(it.host, it.port)) }
             connect(PeerAddress(connection.remote.host, connection.remote.port))
             inboundConnections += connection
             connection.serve(scope)
@@ -123,9 +131,9 @@
         } catch (e: Exception) {
             logConnectionEnd("inbound", e)
         } finally {
-            inboundConnections -= connection
+            opened?.let { inboundConnections -= it }
             inboundCount.decrementAndGet()
-            connection.close()
+            opened?.close() ?: socket.close()
         }
     }
 
@@ -230,6 +238,12 @@
         /** This part of the inbound connections may be in the handshake. */
         const val HANDSHAKE_SHARE = 2
 
+        /** Inbound connections that are read before their handshake is complete. Ktor reads up to 2 MB ahead from each of them. */
+        const val HANDSHAKE_SLOTS = 4
+
+        /** Longest time until the handshake of an inbound connection is complete, the wait for a slot included. */
+        const val HANDSHAKE_TIMEOUT_MS = 4_000L
+
         /** Number of peers that the first frame of a connection names: enough to find all others, while the frame stays small. */
         const val MAX_KNOWN_IN_HELLO = 8
         const val CONNECT_TIMEOUT_MS = 1_000L
