--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -14,6 +14,7 @@
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.port
 import kotlinx.coroutines.CancellationException
@@ -23,6 +24,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
 import kotlinx.coroutines.withTimeout
 import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
@@ -40,7 +43,10 @@
     fun refused(address: PeerAddress) = Unit
 }
 
-/** All peer connections of this VM. [handler] gets the messages from all peers; it and [events] are called from several threads. */
+/**
+ * All peer connections of this VM, at most [maxInbound] of them opened by peers. [handler] gets the messages from all peers; it and [events]
+ * are called from several threads.
+ */
 internal class PeerNetwork(
     private val scope: CoroutineScope,
     private val cluster: String,
@@ -48,6 +54,7 @@
     private val events: PeerEvents,
     private val codec: FrameCodec = FrameCodec(),
     uptime: UptimeClock = UptimeClock(Clock.System),
+    private val maxInbound: Int = MAX_INBOUND_CONNECTIONS,
 ) : PeerTransport {
     /** Counts of frames and bytes. */
     val traffic = PeerTraffic()
@@ -63,6 +70,11 @@
     /** Number of inbound connections, including those whose handshake is not complete. */
     private val inboundCount = AtomicInteger()
 
+    /** Number of inbound connections whose handshake is not complete. */
+    private val handshakes = AtomicInteger()
+    private val handshakeSlots = Semaphore(HANDSHAKE_SLOTS)
+    private val refusals = RefusalLog()
+
     /** Inbound connections that have completed the handshake. */
     private val inboundConnections = ConcurrentHashMap.newKeySet<PeerConnection>()
     private lateinit var server: ServerSocket
@@ -78,19 +90,39 @@
         scope.launch {
             while (isActive) {
                 val socket = runCatching { server.accept() }.getOrElse { return@launch }
-                if (inboundCount.incrementAndGet() > MAX_INBOUND_CONNECTIONS) {
-                    inboundCount.decrementAndGet()
+                if (!admit()) {
                     socket.close()
                 } else {
-                    launch { serveInbound(PeerConnection(socket, local, codec, handler, traffic)) }
+                    launch { serveInbound(socket) }
                 }
             }
         }
     }
 
-    private suspend fun serveInbound(connection: PeerConnection) {
+    /**
+     * Counts an accepted connection; false if there are too many. A part of them may be in the handshake, so that processes which open
+     * connections and send nothing leave some to peers.
+     */
+    private fun admit(): Boolean {
+        val isAdmitted = inboundCount.incrementAndGet() <= maxInbound && handshakes.get() < maxInbound / HANDSHAKE_SHARE
+        if (isAdmitted) handshakes.incrementAndGet() else inboundCount.decrementAndGet()
+        if (!isAdmitted) refusals.onRefused("inbound", "too many connections")
+        return isAdmitted
+    }
+
+    /** Makes the handshake once one of the slots is free; until then nothing is read from the connection. */
+    private suspend fun greet(handshake: suspend () -> List<VmIdentity>): List<VmIdentity> = try {
+        withTimeout(HANDSHAKE_TIMEOUT_MS) { handshakeSlots.withPermit { handshake() } }
+    } finally {
+        handshakes.decrementAndGet()
+    }
+
+    private suspend fun serveInbound(socket: Socket) {
+        var opened: PeerConnection? = null
         try {
-            connection.handshake().forEach { connect(PeerAddress(it.host, it.port)) }
+            val known = greet { PeerConnection(socket, local, codec, handler, traffic).also { opened = it }.handshake() }
+            val connection = checkNotNull(opened)
+            known.forEach { connect(PeerAddress(it.host, it.port)) }
             connect(PeerAddress(connection.remote.host, connection.remote.port))
             inboundConnections += connection
             connection.serve(scope)
@@ -99,9 +131,9 @@
         } catch (e: Exception) {
             logConnectionEnd("inbound", e)
         } finally {
-            inboundConnections -= connection
+            opened?.let { inboundConnections -= it }
             inboundCount.decrementAndGet()
-            connection.close()
+            opened?.close() ?: socket.close()
         }
     }
 
@@ -157,7 +189,7 @@
 
     private fun logConnectionEnd(side: String, cause: Exception) {
         if (cause is FrameException) {
-            log.warn { "event=peer_refused connection=\"$side\" reason=\"${cause.message}\"" }
+            refusals.onRefused(side, cause.message)
         } else {
             log.debug { "event=peer_connection_ended connection=\"$side\" reason=\"${cause.message}\"" }
         }
@@ -203,6 +235,15 @@
         const val REFUSED = "refused"
         const val MAX_INBOUND_CONNECTIONS = 512
 
+        /** This part of the inbound connections may be in the handshake. */
+        const val HANDSHAKE_SHARE = 2
+
+        /** Inbound connections that are read before their handshake is complete. Ktor reads up to 2 MB ahead from each of them. */
+        const val HANDSHAKE_SLOTS = 4
+
+        /** Longest time until the handshake of an inbound connection is complete, the wait for a slot included. */
+        const val HANDSHAKE_TIMEOUT_MS = 4_000L
+
         /** Number of peers that the first frame of a connection names: enough to find all others, while the frame stays small. */
         const val MAX_KNOWN_IN_HELLO = 8
         const val CONNECT_TIMEOUT_MS = 1_000L
--- a/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformClientsTest.kt
@@ -9,6 +9,7 @@
 import dandelionpoint.protocol.fleet.JobStep
 import dandelionpoint.protocol.fleet.QueueRoute
 import dandelionpoint.protocol.peer.JobPresence
+import dandelionpoint.transport.http.ListenAddress
 import io.kotest.assertions.nondeterministic.continually
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
--- a/src/test/kotlin/dandelionpoint/settings/FleetSettingsTest.kt
+++ b/src/test/kotlin/dandelionpoint/settings/FleetSettingsTest.kt
@@ -69,6 +69,7 @@
                     "node_name" to "front-1", "region" to "north", "zone" to "akl-a", "listen.front" to "10.0.0.1:80",
                     "listen.ready" to "10.0.0.1:81", "listen.control" to "10.0.0.1:82", "seeds" to "", "platform.address" to "10.0.0.9:90",
                     "bounds.max_hold_ms" to "1000", "bounds.grace_s" to "6", "limits.cpu_share" to "0.75", "limits.cores" to "1",
+                    "limits.memory_mb" to "430", "limits.max_fds" to "4100",
                 )
                 val template = Files.readString(Path.of("deploy/settings.template"))
                 fun penalty(all: Map<String, String>): Double {
@@ -79,6 +80,19 @@
                 penalty(values + ("bounds.remote_penalty" to "1.5")) shouldBe 1.5
             }
 
+            // Guards against a VM that does not start because the platform writes its memory with a fraction.
+            it("give the memory and the descriptors, those of the smallest VM if there are none") {
+                fun with(members: String) = read(VALID.replace("\"graceSeconds\"", "$members, \"graceSeconds\""))
+                val least = read(VALID).shouldBeInstanceOf<Either.Right<FleetSettings>>().value
+                least.memoryMb shouldBe 160
+                least.sockets shouldBe 2_012
+                least.maxPeerConnections shouldBe 503
+                val given = with("\"memoryMb\": 682.0, \"maxDescriptors\": 10250").shouldBeInstanceOf<Either.Right<FleetSettings>>().value
+                given.memoryMb shouldBe 682
+                given.maxPeerConnections shouldBe 512
+                listOf("\"memoryMb\": 0", "\"maxDescriptors\": 200").forEach { with(it).shouldBeInstanceOf<Either.Left<*>>() }
+            }
+
             it("have every key of the platform's template in the sample, and the sample is valid") {
                 val keys = { path: String ->
                     Regex("\"([A-Za-z]+)\":").findAll(Files.readString(Path.of(path))).map { it.groupValues[1] }.toSet()
