--- a/src/main/kotlin/dandelionpoint/coordination/fleet/LeasedWorkerHealth.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/LeasedWorkerHealth.kt
@@ -68,10 +68,15 @@
         return true
     }
 
-    /** Records that an order to start a run did not reach the worker, although it answers. Ejects it for [forMs] if this recurs. */
+    /**
+     * Records that an order to start a run did not reach the worker, although it answers. If this recurs, the worker is ejected for [forMs],
+     * which does not grow with earlier ejections: orders are lost on the way, or are only late, and say little about the worker.
+     */
     fun orderLost(now: Long, forMs: Long) {
-        lostOrders++
-        if (lostOrders >= LOST_ORDERS || isOnProbation) eject(now, forMs)
+        if (++lostOrders < LOST_ORDERS) return
+        lostOrders = 0
+        ejectedUntil = max(ejectedUntil, now + forMs)
+        isOnProbation = true
     }
 
     /**
