--- a/src/main/kotlin/dandelionpoint/coordination/fleet/LeasedWorkerHealth.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/LeasedWorkerHealth.kt
@@ -69,8 +69,8 @@
     }
 
     /**
-     * Records that an order to start a run did not reach the worker, although it answers. If this recurs, the worker is ejected for [forMs],
-     * which does not grow with earlier ejections: orders are lost on the way, or are only late, and say little about the worker.
+     * Records that an order to start a run did not reach the worker, although it answers. If this recurs, the worker is ejected for
+     * [forMs], which does not grow with earlier ejections: orders are lost on the way, or are only late, and say little about the worker.
      */
     fun orderLost(now: Long, forMs: Long) {
         if (++lostOrders < LOST_ORDERS) return
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -127,9 +127,7 @@
             runner,
             inquiries,
             remoteRuns,
-            claims,
-            handovers,
-            takeovers,
+            CellMoves(claims, handovers, takeovers),
             ::routeOf,
             ::stopRefusal,
             ::onHeartbeat,
@@ -468,7 +466,7 @@
             remoteRuns.refuseWaiting("the VM process was paused") { true }
             if (!isLost) return
             claims.onProcessPause(pause)
-            runner.onProcessPause(pause.maxMs)
+            runner.endAll("the VM process was paused for ${pause.maxMs} ms")
             // A longer pause has outlasted their leases, and after a step of the wall clock, which looks like one, they are still wanted.
             if (pause.maxMs - TICK_MS <= rules.longestLeaseMs) cells.stopRunsOfOthers(incarnation)
         }
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -107,17 +107,15 @@
             val guard = LoopGuard("schedule")
             while (isActive) {
                 wakeUp.receive()
-                guard.attempt("schedule") { schedule() }
+                guard.attempt("schedule") {
+                    // A run that waited during a pause of the process may not be wanted any more, so that the pause is handled first.
+                    view.checkPause()
+                    handle(dispatch.schedule(clock.millis(), placer))
+                }
             }
         }
     }
 
-    /** A run that waited during a pause of the process may not be wanted any more, so that the pause is handled first. */
-    private fun schedule() {
-        view.checkPause()
-        handle(dispatch.schedule(clock.millis(), placer))
-    }
-
     /** Makes the loop try to place waiting tasks, after a change that may let one start. */
     fun wake() {
         wakeUp.trySend(Unit)
@@ -151,12 +149,15 @@
             prefersOwn && !waits
         }
         if (own != null || waits) return own?.let { RunLocation.Local(it) }
-        val other = offer ?: remote.offer(order)
-        if (other != null) return if (waitsForRack(order, other)) null else placeRemotely(order, other)
-        return order.avoid?.let { view.place(order, avoidsWorker = false) }?.let { RunLocation.Local(it) }
+        return placeElsewhere(order, offer ?: remote.offer(order))
     }
 
-    private fun waitsForRack(order: RunOrder, other: RemoteOffer<*>) = !other.isInRack && view.waitsForRack(order, other.expectedMs)
+    /** Starts the run at the [offer] of another VM unless it waits for its rack; without an offer, on the worker to avoid. */
+    private fun placeElsewhere(order: RunOrder, offer: RemoteOffer<RemoteWorker>?): RunLocation? {
+        if (offer == null) return order.avoid?.let { view.place(order, avoidsWorker = false) }?.let { RunLocation.Local(it) }
+        val waitsForRack = !offer.isInRack && view.waitsForRack(order, offer.expectedMs)
+        return if (waitsForRack) null else placeRemotely(order, offer)
+    }
 
     private fun placeRemotely(order: RunOrder, offer: RemoteOffer<RemoteWorker>): RunLocation {
         val (vm, location) = remote.reserve(order, offer)
@@ -291,9 +292,6 @@
         handle(dispatch.cancelFrom(vm.incarnation, clock.millis()))
     }
 
-    /** Ends all jobs, because this process was paused for so long that its peers have declared the VM lost. */
-    fun onProcessPause(pauseMs: Long) = endAll("the VM process was paused for $pauseMs ms")
-
     /** Ends all jobs for [reason]. */
     fun endAll(reason: String) = handle(dispatch.cancelAll(reason, clock.millis()))
 
--- a/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
@@ -58,14 +58,15 @@
     }
 }
 
+/** The parts of the VM that move cells from one owner to another. */
+internal class CellMoves(val claims: CellClaims, val handovers: CellHandovers, val takeovers: CellTakeovers)
+
 /** The parts of the VM that carry out what peers ask for. */
 internal class PeerRequestTargets(
     val runner: JobRunner,
     val inquiries: JobInquiries,
     val remoteRuns: RemoteRunServer,
-    val claims: CellClaims,
-    val handovers: CellHandovers,
-    val takeovers: CellTakeovers,
+    val cells: CellMoves,
     val routeOf: (String) -> DispatchRoute,
     /** The refusal of a job whose client waits for a time in ms, null unless this VM stops before the job has ended. */
     val stopRefusal: (FleetJob, Long) -> JobOutcome?,
@@ -110,20 +111,24 @@
 
             is PeerMessage.ConfigPull -> targets.configuration()
 
-            // Without an answer, the sender repeats the report.
-            is CellUse -> if (targets.takeovers.onReport(from, message, sentAt)) ReleaseAnswer else null
+            else -> handleCellMove(from, message, sentAt)
+        }
+    }
 
-            is CellUseQuery -> targets.handovers.answer(from, message)
+    private suspend fun handleCellMove(from: VmIdentity, message: PeerMessage, sentAt: Long): PeerMessage? = when (message) {
+        // Without an answer, the sender repeats the report.
+        is CellUse -> if (targets.cells.takeovers.onReport(from, message, sentAt)) ReleaseAnswer else null
 
-            is CellHandover -> {
-                if (!isExpired(from, message, sentAt, MAX_HANDOVER_AGE_MS)) targets.claims.handover(message.cell, from)
-                null
-            }
+        is CellUseQuery -> targets.cells.handovers.answer(from, message)
 
-            else -> {
-                log.warn { "event=unexpected_message peer=${from.name} type=${message::class.simpleName}" }
-                null
-            }
+        is CellHandover -> {
+            if (!isExpired(from, message, sentAt, MAX_HANDOVER_AGE_MS)) targets.cells.claims.handover(message.cell, from)
+            null
+        }
+
+        else -> {
+            log.warn { "event=unexpected_message peer=${from.name} type=${message::class.simpleName}" }
+            null
         }
     }
 
--- a/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/peer/FleetMessages.kt
@@ -41,8 +41,9 @@
  * of all usable ones, both by pool. [waitingJobs] is the number of jobs without a started task, by queue. [relayed] says how long
  * before this heartbeat each VM whose clients wait for remote runs of the sender was certainly alive, in ms, by the incarnation.
  * [cancelledJobs] and [cancelledRuns] are the cancellations of the sender that no receiver has confirmed yet: since a heartbeat extends the
- * leases of the sender's runs, it must not overtake them. [evacuated] is null as long as the sender has known of no evacuation. [backlog] is
- * the work that waits for capacity in the sender's cells, its own and that of other VMs, in core-ms by pool and then by priority from 0.
+ * leases of the sender's runs, it must not overtake them. [evacuated] is null as long as the sender has known of no evacuation.
+ * [backlog] is the work that waits for capacity in the sender's cells, its own and that of other VMs, in core-ms by pool and then by
+ * priority from 0.
  */
 @Serializable
 @SerialName("beat")
