--- a/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
+++ b/src/main/kotlin/dandelionpoint/cli/FleetCommand.kt
@@ -8,6 +8,7 @@
 import dandelionpoint.settings.FleetSettings
 import dandelionpoint.settings.HostAndPort
 import dandelionpoint.settings.SettingsReader
+import dandelionpoint.settings.withRemotePenalty
 import dandelionpoint.transport.http.ClientLimits
 import dandelionpoint.transport.http.ListenAddress
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -42,7 +43,7 @@
             System.err.println("no settings file: pass FILE or set $SETTINGS_VARIABLE")
             return ExitCode.USAGE
         }
-        return when (val read = SettingsReader.readFleet(path)) {
+        return when (val read = readSettings(path)) {
             is Either.Left -> {
                 read.value.forEach { System.err.println(it) }
                 ExitCode.USAGE
@@ -52,6 +53,9 @@
         }
     }
 
+    private fun readSettings(path: Path) =
+        SettingsReader.readFleet(path).map { it.withRemotePenalty(System.getenv(REMOTE_PENALTY_VARIABLE)) }
+
     private fun serve(path: Path, settings: FleetSettings): Int = try {
         // All loops of the VM run on one thread: a VM has at most a few processor cores, and handing work from thread to thread would
         // cost it more than the work itself. Blocking calls run on threads of their own.
@@ -92,7 +96,7 @@
             val now = modifiedAt(path)
             if (!ReloadSignal.take() && now == lastModified) continue
             lastModified = now
-            when (val read = SettingsReader.readFleet(path)) {
+            when (val read = readSettings(path)) {
                 is Either.Left -> log.warn { "event=settings_refused faults=\"${read.value.joinToString()}\"" }
                 is Either.Right -> log.info { "event=settings_read restart_needed_for=${vm.reload(read.value)}" }
             }
@@ -121,6 +125,7 @@
     companion object {
         const val NAME = "fleet"
         private const val SETTINGS_VARIABLE = "DANDELIONPOINT_SETTINGS"
+        private const val REMOTE_PENALTY_VARIABLE = "DANDELIONPOINT_REMOTE_PENALTY"
         private const val SETTINGS_POLL_INTERVAL_MS = 1_000L
 
         /** How long a planned stop waits for requests that arrive while it ends, in ms. */
--- a/src/main/kotlin/dandelionpoint/settings/Fields.kt
+++ b/src/main/kotlin/dandelionpoint/settings/Fields.kt
@@ -65,23 +65,10 @@
     fun optionalInteger(key: String, range: IntRange, unit: String): Int? = if (isAbsent(key)) null else integer(key, range, unit)
 
     /** Reads a number in [range]. [unit] says what it measures, such as "factor". */
-    fun decimal(key: String, range: ClosedFloatingPointRange<Double>, unit: String, default: Double): Double =
-        decimal(key, range, unit, default) { it.numberText() }
-
-    /** As [decimal], but also accepts a string with a number, and an empty string for [default]: a placeholder without a value. */
-    fun decimalOrBlank(key: String, range: ClosedFloatingPointRange<Double>, unit: String, default: Double): Double =
-        decimal(key, range, unit, default) { (it as? JsonPrimitive)?.content?.ifBlank { "$default" } }
-
-    private fun decimal(
-        key: String,
-        range: ClosedFloatingPointRange<Double>,
-        unit: String,
-        default: Double,
-        textOf: (JsonElement) -> String?,
-    ): Double {
+    fun decimal(key: String, range: ClosedFloatingPointRange<Double>, unit: String, default: Double): Double {
         val accepted = "a $unit from ${range.start} to ${range.endInclusive}, such as $default"
         val element = member(key, accepted, required = false) ?: return default
-        val number = textOf(element)?.toDoubleOrNull()
+        val number = element.numberText()?.toDoubleOrNull()
         when {
             number == null -> fault(key, "${element.shortText()} is not a number", accepted)
             number !in range -> fault(key, "$number is out of range", accepted)
--- a/src/main/kotlin/dandelionpoint/settings/FleetSettings.kt
+++ b/src/main/kotlin/dandelionpoint/settings/FleetSettings.kt
@@ -1,6 +1,10 @@
 /* Settings of an entry VM that dispatches to leased workers (command `fleet`), and their schema. */
 package dandelionpoint.settings
 
+import io.github.oshai.kotlinlogging.KotlinLogging
+
+private val log = KotlinLogging.logger {}
+
 /** Address to listen on or to connect to. */
 internal data class HostAndPort(val host: String, val port: Int) {
     override fun toString() = "$host:$port"
@@ -89,11 +93,11 @@
 private const val MAX_GRACE_SECONDS = 600.0
 private const val MIN_CPU_SHARE = 0.001
 private const val MAX_CORES = 1_024
-private const val MAX_REMOTE_PENALTY = 10.0
 private const val MIN_MEMORY_MB = 128
 private const val MAX_MEMORY_MB = 1_048_576
 private const val MIN_DESCRIPTORS = 300
 private const val MAX_DESCRIPTORS = 1_048_576
+private val REMOTE_PENALTIES = 1.0..10.0
 private const val NAME_RULE = "1 to 64 letters, digits, dots, hyphens or underscores"
 private val NAME_PATTERN = Regex("[A-Za-z0-9._-]{1,64}")
 
@@ -111,7 +115,7 @@
     graceSeconds = decimal("graceSeconds", 1.0..MAX_GRACE_SECONDS, "number of seconds", FleetSettings.DEFAULT_GRACE_SECONDS),
     cpuShare = decimal("cpuShare", MIN_CPU_SHARE..1.0, "share of a core, above 0 and at most 1", FleetSettings.DEFAULT_CPU_SHARE),
     cores = integer("cores", 1..MAX_CORES, "number of cores", FleetSettings.DEFAULT_CORES),
-    remotePenalty = decimalOrBlank("remotePenalty", 1.0..MAX_REMOTE_PENALTY, "factor", FleetSettings.DEFAULT_REMOTE_PENALTY),
+    remotePenalty = decimal("remotePenalty", REMOTE_PENALTIES, "factor", FleetSettings.DEFAULT_REMOTE_PENALTY),
     memoryMb = amount("memoryMb", MIN_MEMORY_MB..MAX_MEMORY_MB, "number of MB", FleetSettings.DEFAULT_MEMORY_MB),
     maxDescriptors = amount(
         "maxDescriptors",
@@ -121,6 +125,17 @@
     ),
 )
 
+/**
+ * These settings with the rack penalty [text], as the platform passes it in the environment. Unchanged if it passes none, or no number in
+ * range, since a VM with another penalty still serves.
+ */
+internal fun FleetSettings.withRemotePenalty(text: String?): FleetSettings {
+    if (text.isNullOrBlank()) return this
+    val penalty = text.toDoubleOrNull()?.takeIf { it in REMOTE_PENALTIES }
+    if (penalty == null) log.warn { "event=settings_refused faults=\"remote penalty $text is no number from $REMOTE_PENALTIES\"" }
+    return if (penalty == null) this else copy(remotePenalty = penalty)
+}
+
 /** Reads a number that the platform may write with a fraction, such as 512.0. */
 private fun Fields.amount(key: String, range: IntRange, unit: String, default: Int): Int =
     decimal(key, range.first.toDouble()..range.last.toDouble(), unit, default.toDouble()).toInt()
