--- a/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformClients.kt
@@ -46,7 +46,7 @@
             address,
             MAX_READINESS_THREADS,
             limits.readinessConnections,
-            ClientBudget(limits, limitLog::onReached),
+            ClientBudget(limits.copy(crowdedIdleMs = limits.readinessCrowdedIdleMs), limitLog::onReached),
             ::handleReadiness,
         )
     }
--- a/src/main/kotlin/dandelionpoint/transport/http/ClientBudget.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/ClientBudget.kt
@@ -33,6 +33,7 @@
  * @property answerMs longest time from the first byte of an answer until the client's system has taken its last one
  * @property idleMs time after which a connection is closed that is not in use
  * @property crowdedIdleMs the same while no further connection is accepted
+ * @property readinessCrowdedIdleMs the same at the listener of the readiness check, whose clients send their request at once
  */
 internal data class ClientLimits(
     val connections: Int = 1_006,
@@ -47,6 +48,7 @@
     val answerMs: Long = 5_000,
     val idleMs: Long = 60_000,
     val crowdedIdleMs: Long = 3_000,
+    val readinessCrowdedIdleMs: Long = 250,
 ) {
     companion object {
         private const val MB = 1_048_576
