Show two runs of a task after the client's VM froze and was killed

A VM that another one has taken for lost offers it jobs before its next heartbeat. If it ends then, the other VM keeps these jobs until their clients' deadlines and starts their tasks anew each 0.7 s in other zones, while the clients have submitted them again.

--- a/review/standin-3/src/Lab.java
+++ b/review/standin-3/src/Lab.java
@@ -390,6 +390,17 @@
         }
     }
 
+    /** Name of the VM that has claimed [cell], as the store's table of the system has it. */
+    String ownerOf(String cell) {
+        synchronized (store) {
+            Store.Row row = store.rows.get(store.id("cells", "", cell));
+            if (row == null || row.deleted) return "";
+            String value = new String(Base64.getDecoder().decode(row.value), StandardCharsets.UTF_8);
+            Matcher name = Pattern.compile("\"name\":\"([^\"]*)\"").matcher(value);
+            return name.find() ? name.group(1) : "";
+        }
+    }
+
     void putConfiguration(int version, boolean enforcesCapacity) {
         store.put("op", "config", "{\"version\":" + version + ",\"routes\":[{\"name\":\"r-1\",\"host\":\"" + QUEUE_HOST +
             "\",\"path_prefix\":\"/lohu930/\",\"kind\":\"non_idempotent\",\"timeout_ms\":1500,\"latency_target_ms\":60,\"priority\":0,\"service\":\"" +
