Take ports below the range of outgoing connections in the review's scripts

Cause: one run of review/11 beside the whole test suite ended with exit code 2, as a VM was not ready; perhaps its port was taken between the choice and its start.

--- a/review/standin-3/src/Lab.java
+++ b/review/standin-3/src/Lab.java
@@ -44,8 +44,19 @@
         try { Thread.sleep(ms); } catch (InterruptedException e) { throw new IllegalStateException(e); }
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) { return socket.getLocalPort(); }
+    private static final Set<Integer> taken = new HashSet<>();
+
+    /** A free port below those that the system gives to outgoing connections, so that none of these takes it before it is used. */
+    static synchronized int freePort() throws IOException {
+        for (int tries = 0; tries < 1_000; tries++) {
+            int port = 12_000 + ThreadLocalRandom.current().nextInt(18_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
+                if (taken.add(port)) return port;
+            } catch (IOException e) {
+                // in use
+            }
+        }
+        throw new IOException("no free port");
     }
 
     @Override public void close() {
@@ -686,6 +697,7 @@
             if (vms.stream().allMatch(Vm::isReady)) return;
             sleep(100);
         }
+        for (Vm vm : vms) log("VM " + vm.name + " ready " + vm.isReady() + ", alive " + vm.process.isAlive());
         throw new IllegalStateException("the VMs are not ready");
     }
 
