--- a/review/standin-3/src/LeftBehind.java
+++ b/review/standin-3/src/LeftBehind.java
@@ -42,14 +42,17 @@
         lab.putConfiguration(1, true);
         lab.workMs = task -> TASK_MS;
         lab.cpuOf = task -> 2_000;
-        String[] zones = {"akl-a", "ham-a", "tga-a"};
+        String[] zones = {"akl-a", "akl-b", "ham-a", "tga-a"};
         for (String zone : zones) {
             for (int i = 0; i < 3; i++) lab.new Worker("i-" + zone + i, zone, 0, 16_000, Set.of("a", "r1-" + zone), true).stopMs = 20;
         }
         Lab.Vm one = lab.new Vm("front-akl-a-1", "akl-a", "");
         String seeds = Lab.HOST + ":" + one.peers;
         Lab.Vm two = lab.new Vm("front-akl-a-2", "akl-a", seeds);
-        List<Lab.Vm> elsewhere = List.of(lab.new Vm("front-ham-a-1", "ham-a", seeds), lab.new Vm("front-tga-a-1", "tga-a", seeds));
+        List<Lab.Vm> elsewhere = new ArrayList<>();
+        for (String name : List.of("akl-b-1", "akl-b-2", "ham-a-1", "ham-a-2", "tga-a-1")) {
+            elsewhere.add(lab.new Vm("front-" + name, name.substring(0, 5), seeds));
+        }
         lab.awaitReady(40_000);
         Lab.sleep(4_000);
         int rounds = 0;
