Move the requests for remote runs out of JobRunner

Change: RemoteRunRequests has the requests, their repetition and their stops, the counterpart of RemoteRunServer; no behaviour changes. Measured: PlacementTest, CancellationTest, JobInquiriesTest, JobForwarderTest, FleetVmTest and OneRunPerTaskTest, 78 tests, green.

--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -1,7 +1,6 @@
 /*
  * Carries out the decisions of [Dispatch]: starts runs in this VM's cells or, as remote runs, in the cells of other VMs, and returns the
- * outcome to the callers that wait for a job. The request for a remote run is repeated over a new connection when the first one breaks;
- * the VM that runs it handles repeated requests as one.
+ * outcome to the callers that wait for a job.
  */
 package dandelionpoint.fleet
 
@@ -25,18 +24,12 @@
 import dandelionpoint.protocol.fleet.TaskRef
 import dandelionpoint.protocol.millis
 import dandelionpoint.protocol.peer.PeerLink
-import dandelionpoint.protocol.peer.PeerMessage
-import dandelionpoint.protocol.peer.PeerReply
-import dandelionpoint.protocol.peer.RemoteRunRequest
-import dandelionpoint.protocol.peer.RequestExpired
-import dandelionpoint.protocol.peer.RunAnswer
 import dandelionpoint.protocol.peer.RunCancel
 import dandelionpoint.protocol.peer.VmIdentity
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import java.util.concurrent.ConcurrentHashMap
@@ -80,16 +73,15 @@
     private val scope: CoroutineScope,
     private val dispatch: Dispatch,
     private val remote: RemoteCapacity,
-    private val link: PeerLink,
+    link: PeerLink,
     private val view: FleetView,
     private val clock: Clock = Clock.System,
     private val placementRules: PlacementRules = PlacementRules(),
     private val backlogs: PeerBacklogs = PeerBacklogs(),
 ) {
     private val waiters = ConcurrentHashMap<AttemptKey, CompletableDeferred<JobOutcome>>()
-    private val remoteRuns = ConcurrentHashMap<RunKey, RemoteRun>()
-    private val unconfirmedStops = ConcurrentHashMap.newKeySet<RunKey>()
     private val wakeUp = Channel<Unit>(Channel.CONFLATED)
+    private val remoteRuns = RemoteRunRequests(scope, link, RemoteRunEvents(), clock)
     private val placer = object : RunPlacer {
         override fun place(order: RunOrder): RunLocation? = this@JobRunner.place(order)
 
@@ -130,6 +122,15 @@
         return own.await()
     }
 
+    /** The VMs that have remote runs of this VM in progress. */
+    fun partners(): Set<VmIdentity> = remoteRuns.partners()
+
+    /** Requests to stop remote runs that the runs' owners have not confirmed yet. */
+    fun unconfirmedStops(): List<RunCancel> = remoteRuns.unconfirmedStops()
+
+    /** Incarnations of the VMs whose clients wait for the remote runs of this VM. */
+    fun entryVmsOfRemoteRuns(): Set<String> = remoteRuns.entryVms()
+
     /** True if [attempt] was submitted here or cancelled, and has not been forgotten since. */
     fun has(attempt: AttemptKey): Boolean = dispatch.has(attempt)
 
@@ -161,108 +162,24 @@
 
     private fun placeRemotely(order: RunOrder, offer: RemoteOffer<RemoteWorker>): RunLocation {
         val (vm, location) = remote.reserve(order, offer)
-        requestRun(order, vm, MAX_REMOTE_WAIT_MS)
+        remoteRuns.request(order, vm, RemoteRunRequests.MAX_WAIT_MS)
         return location
     }
 
-    /** Requests the run of [order] from [vm], where it may wait for [maxWaitMs] at most. */
-    private fun requestRun(order: RunOrder, vm: VmIdentity, maxWaitMs: Long) {
-        val run = RemoteRun(order, vm, latestStartAt = minOf(order.latestStartAt, clock.millis() + maxWaitMs))
-        remoteRuns[order.key] = run
-        scope.launch { runRemotely(run) }
-    }
-
     /**
      * Lets the run of [order] wait at another owner if the expected wait is shorter there, for as long as it would have to wait here. Not
      * so a run that requires a label, since it is not known which owners have workers with it.
      */
     private fun letWaitElsewhere(order: RunOrder, aheadCoreMs: Long): RunLocation? {
         val now = clock.millis()
-        if (order.requiredLabel != null || order.latestStartAt - now < MAX_REMOTE_WAIT_MS || view.hasTask(order.task)) return null
+        if (order.requiredLabel != null || order.latestStartAt - now < RemoteRunRequests.MAX_WAIT_MS) return null
+        if (view.hasTask(order.task)) return null
         val ownWaitMs = view.cores(order.pool).let { cores -> if (cores > 0) aheadCoreMs.toDouble() / cores else null }
         val vm = backlogs.choose(order, ownWaitMs, now) ?: return null
-        requestRun(order, vm, (ownWaitMs?.toLong() ?: WAIT_WITHOUT_CELLS_MS).coerceAtLeast(MAX_REMOTE_WAIT_MS))
+        remoteRuns.request(order, vm, (ownWaitMs?.toLong() ?: WAIT_WITHOUT_CELLS_MS).coerceAtLeast(RemoteRunRequests.MAX_WAIT_MS))
         return RunLocation.Remote(vm.incarnation)
     }
 
-    /** The VMs that have remote runs of this VM in progress. */
-    fun partners(): Set<VmIdentity> = remoteRuns.values.mapTo(HashSet()) { it.vm }
-
-    /** Requests to stop remote runs that the runs' owners have not confirmed yet. */
-    fun unconfirmedStops(): List<RunCancel> = unconfirmedStops.map { RunCancel(it.run, it.dispatch) }
-
-    /** Incarnations of the VMs whose clients wait for the remote runs of this VM. */
-    fun entryVmsOfRemoteRuns(): Set<String> = remoteRuns.values.mapTo(HashSet()) { it.order.entryVm }
-
-    private suspend fun runRemotely(run: RemoteRun) {
-        var mayHaveArrived = false
-        var expired = 0
-        while (!run.isCancelled) {
-            when (val reply = link.call(run.vm, request(run), REMOTE_RUN_TIMEOUT_MS)) {
-                is PeerReply.Answered -> {
-                    if (reply.message != RequestExpired) return remoteEnded(run, reply.message)
-                    if (++expired > MAX_EXPIRED_REQUESTS) return remoteEnded(run, RunEnd.NOT_STARTED, isReported = false)
-                    continue
-                }
-
-                is PeerReply.NotSent -> if (!mayHaveArrived) return remoteEnded(run, RunEnd.NOT_STARTED, isReported = false)
-
-                is PeerReply.Lost -> {
-                    mayHaveArrived = true
-                    log.info { "event=remote_run_lost ${run.order.run.logFields()} peer=${run.vm.name} reason=\"${reply.reason}\"" }
-                }
-            }
-            if (!view.isLive(run.vm)) {
-                remoteEnded(run, RunEnd.LOST, isReported = false)
-                return stopUntilConfirmed(run)
-            }
-            delay(REMOTE_RUN_RETRY_MS)
-        }
-    }
-
-    private fun request(run: RemoteRun) = with(run.order) {
-        val now = clock.millis()
-        RemoteRunRequest(
-            this.run, payload, pool, demand, estimateMs, requiredLabel, rack, maxPerWorker, dispatch,
-            remainingMs = run.deadlineAt - now,
-            entryVm = entryVm,
-            entryAgeMs = view.demandAgeMs(entryVm),
-            priority = priority,
-            maxWaitMs = (run.latestStartAt - now).coerceAtLeast(0),
-            slackMs = onTimeStartAt - now,
-        )
-    }
-
-    private suspend fun stopUntilConfirmed(run: RemoteRun) {
-        unconfirmedStops += run.key
-        try {
-            stopRemotely(run)
-        } finally {
-            unconfirmedStops -= run.key
-        }
-    }
-
-    /** Repeats the request to stop [run] until its owner confirms the end, or for so long that its owner must have lost this VM. */
-    private suspend fun stopRemotely(run: RemoteRun) {
-        val latest = clock.millis() + CANCEL_PERIOD_MS
-        while (clock.millis() < latest) {
-            val reply = link.call(run.vm, RunCancel(run.order.run, run.order.dispatch), CANCEL_TIMEOUT_MS)
-            if (reply is PeerReply.Answered) return remoteEnded(run, reply.message)
-            delay(CANCEL_RETRY_MS)
-        }
-        remoteEnded(run, RunEnd.LOST, isReported = false)
-    }
-
-    private fun remoteEnded(run: RemoteRun, message: PeerMessage) =
-        remoteEnded(run, (message as? RunAnswer)?.end ?: RunEnd.LOST, isReported = true)
-
-    /** [run] has ended, as its owner has reported or as this VM concludes from the loss of its owner. Only the first call counts. */
-    private fun remoteEnded(run: RemoteRun, end: RunEnd, isReported: Boolean) {
-        if (!remoteRuns.remove(run.key, run)) return
-        if (isReported && end == RunEnd.NOT_STARTED) remote.markFull(run.vm)
-        ended(run.key, end, avoid = if (isReported) "" else null)
-    }
-
     /**
      * A run of a job that this VM dispatches has ended. [avoid] is the worker that it was on, which the task's next run avoids; it is empty
      * for a remote run whose end the other VM has reported, and null if there is no such report.
@@ -272,6 +189,17 @@
         onCapacity()
     }
 
+    private inner class RemoteRunEvents : RemoteRunRequestHost {
+        override fun isLive(vm: VmIdentity): Boolean = view.isLive(vm)
+
+        override fun demandAgeMs(incarnation: String): Long? = view.demandAgeMs(incarnation)
+
+        override fun onNoRoom(vm: VmIdentity) = remote.markFull(vm)
+
+        override fun ended(key: RunKey, end: RunEnd, isReported: Boolean) =
+            this@JobRunner.ended(key, end, avoid = if (isReported) "" else null)
+    }
+
     /** The client of [attempt] has disconnected or cancelled it. */
     fun cancel(attempt: AttemptKey) = handle(dispatch.cancel(attempt, clock.millis()))
 
@@ -328,54 +256,12 @@
     private fun stopRun(key: RunKey, location: RunLocation) {
         when (location) {
             is RunLocation.Local -> view.stopRun(key)
-
-            is RunLocation.Remote -> remoteRuns[key]?.let { run ->
-                run.isCancelled = true
-                unconfirmedStops += key
-                scope.launch { stopUntilConfirmed(run) }
-            }
+            is RunLocation.Remote -> remoteRuns.stop(key)
         }
     }
 
-    /**
-     * A run in a cell of [vm]. It is not started there at [latestStartAt] or later, and the client waits for its job until [deadlineAt],
-     * both in ms on this VM's monotonic clock.
-     */
-    private class RemoteRun(val order: RunOrder, val vm: VmIdentity, val latestStartAt: Long) {
-        val key: RunKey = order.key
-        val deadlineAt: Long = order.deadlineAt
-
-        /** True once the job has ended, after which the run is not requested again. */
-        @Volatile
-        var isCancelled = false
-    }
-
     private companion object {
-        /** Longest wait for the reply to one request for a remote run, which comes when the run has ended, in ms. */
-        const val REMOTE_RUN_TIMEOUT_MS = 15_000L
-
-        /**
-         * Longest wait of a remote run for capacity that was announced free and has been taken meanwhile, in ms. Capacity becomes free
-         * every few ms; a run that has waited for longer may find capacity elsewhere.
-         */
-        const val MAX_REMOTE_WAIT_MS = 50L
-
         /** Longest wait at one other owner of a run of a VM that has no workers of the pool, in ms. */
         const val WAIT_WITHOUT_CELLS_MS = 200L
-
-        /** The most requests for one run that are sent again because they took too long on their way. */
-        const val MAX_EXPIRED_REQUESTS = 3
-
-        /** Pause before the request for a remote run is repeated, in ms. */
-        const val REMOTE_RUN_RETRY_MS = 150L
-
-        /** Longest wait for the end of a remote run that is to be stopped, before the request is repeated, in ms. */
-        const val CANCEL_TIMEOUT_MS = 250L
-
-        /** Pause before a request to stop a remote run is repeated, in ms. */
-        const val CANCEL_RETRY_MS = 50L
-
-        /** How long a remote run is asked to stop, in ms: longer than its owner takes to declare this VM lost. */
-        const val CANCEL_PERIOD_MS = 3_000L
     }
 }
