Accept no work for a VM that is not known, and lose it like any other

A VM that is not known is never lost, so that nothing ended the job. A request for a remote run without an age of the client's VM counted as an age of 0. Change: an offer makes its sender known, dated by when it was made, so that it is lost if no heartbeat follows; no run is placed, requested or accepted for a client whose VM is not known.

--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -160,7 +160,7 @@
          * may refuse connections too, so that this is concluded of a peer of the same one only.
          */
         override fun refused(address: PeerAddress) {
-            val ended = peers.liveness.live().map { it.vm }.firstOrNull { it.host == address.host && it.port == address.port } ?: return
+            val ended = peers.liveness.peerAt(address.host, address.port) ?: return
             if (ended.dataCentre != settings.dataCentre) return
             log.info { "event=peer_ended peer=${ended.name} incarnation=${ended.incarnation}" }
             val owned = peers.directory.cellsOf(ended)
--- a/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/JobRunner.kt
@@ -119,6 +119,8 @@
         val waiter = waiters.putIfAbsent(submission.attempt, own)
         if (waiter != null) return waiter.await()
         handle(dispatch.submit(submission, poolCores(submission.queue.pool), clock.millis(), placer))
+        // A VM that was lost before the submission is not lost once more.
+        if (!isKnown(submission.entryVm)) handle(dispatch.cancelFrom(submission.entryVm, clock.millis()))
         return own.await()
     }
 
@@ -139,7 +141,11 @@
         return own + remote.cores(pool, hasOwnCell = own > 0)
     }
 
+    /** True if the VM with [incarnation] is this one or one whose loss would be noticed. */
+    private fun isKnown(incarnation: String): Boolean = view.demandAgeMs(incarnation) != null
+
     private fun place(order: RunOrder): RunLocation? {
+        if (!isKnown(order.entryVm)) return null
         // A run of the task that another VM dispatched may still be in progress in a cell of this VM.
         if (view.hasTask(order.task)) return null
         var offer: RemoteOffer<RemoteWorker>? = null
@@ -173,7 +179,7 @@
     private fun letWaitElsewhere(order: RunOrder, aheadCoreMs: Long): RunLocation? {
         val now = clock.millis()
         if (order.requiredLabel != null || order.latestStartAt - now < RemoteRunRequests.MAX_WAIT_MS) return null
-        if (view.hasTask(order.task)) return null
+        if (!isKnown(order.entryVm) || view.hasTask(order.task)) return null
         val ownWaitMs = view.cores(order.pool).let { cores -> if (cores > 0) aheadCoreMs.toDouble() / cores else null }
         val vm = backlogs.choose(order, ownWaitMs, now) ?: return null
         remoteRuns.request(order, vm, (ownWaitMs?.toLong() ?: WAIT_WITHOUT_CELLS_MS).coerceAtLeast(RemoteRunRequests.MAX_WAIT_MS))
--- a/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/PeerRequests.kt
@@ -140,14 +140,22 @@
 
     private suspend fun runHere(from: VmIdentity, request: RemoteRunRequest, sentAt: Long): PeerMessage {
         val now = clock.millis()
-        val isExpired = isExpired(from, request, sentAt, rules.maxRequestAgeMs)
+        val entryAgeMs = entryAgeMs(from, request)
+        val isExpired = entryAgeMs == null || isExpired(from, request, sentAt, rules.maxRequestAgeMs)
         state.liveness.onMessage(from, now)
         val entryVm = request.entryVm
-        val entryAgeMs = request.entryAgeMs
         if (entryVm != null && entryAgeMs != null) state.liveness.onReport(from.incarnation, entryVm, entryAgeMs, sentAt, now)
         return targets.remoteRuns.run(from, request, demand.limited(sentAt - (entryAgeMs ?: 0)), isExpired, demand.now() - sentAt)
     }
 
+    /** How long before [request] was made the VM of its client was certainly there, in ms; null if its sender did not know that VM. */
+    private fun entryAgeMs(from: VmIdentity, request: RemoteRunRequest): Long? {
+        val isSender = request.entryVm == null || request.entryVm == from.incarnation
+        val ageMs = request.entryAgeMs ?: if (isSender) 0 else null
+        if (ageMs == null) log.info { "event=request_for_unknown_vm peer=${from.name} ${request.run.logFields()} vm=${request.entryVm}" }
+        return ageMs
+    }
+
     /** True if [message] may be older than [maxAgeMs]. */
     private fun isExpired(from: VmIdentity, message: PeerMessage, sentAt: Long, maxAgeMs: Long): Boolean {
         val ageMs = demand.now() - sentAt
@@ -161,15 +169,26 @@
         val submission =
             Submission(offer.job, offer.queue, from.incarnation, now - offer.ageMs, now + offer.remainingMs, offer.attempt)
         if (targets.runner.has(submission.attempt)) return JobAnswer(targets.runner.run(submission))
-        if (isExpired(from, offer, sentAt, rules.maxRequestAgeMs) || isTooLate(offer)) return JobAnswer()
-        if (!admission.acceptsOffer(offer.ageMs + demand.now() - sentAt)) return JobAnswer()
+        if (!acceptsOffer(from, offer, sentAt)) return JobAnswer()
         return when (val route = decidedRoute(offer.job.id)) {
-            DispatchRoute.Here -> JobAnswer(targets.runner.run(submission))
+            DispatchRoute.Here -> if (introduce(from, offer, sentAt)) JobAnswer(targets.runner.run(submission)) else JobAnswer()
             is DispatchRoute.At -> JobAnswer(redirect = route.vm)
             DispatchRoute.Undecided -> JobAnswer()
         }
     }
 
+    private fun acceptsOffer(from: VmIdentity, offer: JobOffer, sentAt: Long): Boolean =
+        !isExpired(from, offer, sentAt, rules.maxRequestAgeMs) &&
+            !isTooLate(offer) &&
+            admission.acceptsOffer(offer.ageMs + demand.now() - sentAt)
+
+    /** Makes sure that the loss of [from] will be noticed, which ends the job of [offer]. Returns false if that is not certain. */
+    private fun introduce(from: VmIdentity, offer: JobOffer, sentAt: Long): Boolean {
+        val isKnown = state.liveness.introduce(from, clock.millis(), sentAt)
+        if (!isKnown) log.info { "event=offer_of_unknown_vm job=${offer.job.id} peer=${from.name} incarnation=${from.incarnation}" }
+        return isKnown
+    }
+
     /** True if this VM stops, and the offered job may not end before its process does. */
     private fun isTooLate(offer: JobOffer): Boolean = targets.stopRefusal(offer.job, offer.remainingMs) != null
 
--- a/src/main/kotlin/dandelionpoint/fleet/RemoteRunRequests.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/RemoteRunRequests.kt
@@ -83,7 +83,7 @@
         var mayHaveArrived = false
         var expired = 0
         while (!run.isCancelled) {
-            when (val reply = link.call(run.vm, requestFor(run), RUN_TIMEOUT_MS)) {
+            when (val reply = callFor(run)) {
                 is PeerReply.Answered -> {
                     if (reply.message != RequestExpired) return ended(run, reply.message)
                     if (++expired > MAX_EXPIRED_REQUESTS) return ended(run, RunEnd.NOT_STARTED, isReported = false)
@@ -105,13 +105,19 @@
         }
     }
 
-    private fun requestFor(run: RemoteRun) = with(run.order) {
+    /** Nothing is requested for a client whose VM is lost: its loss is about to end the job. */
+    private suspend fun callFor(run: RemoteRun): PeerReply {
+        val entryAgeMs = host.demandAgeMs(run.order.entryVm) ?: return PeerReply.NotSent("the client's VM is not known")
+        return link.call(run.vm, requestFor(run, entryAgeMs), RUN_TIMEOUT_MS)
+    }
+
+    private fun requestFor(run: RemoteRun, entryAgeMs: Long) = with(run.order) {
         val now = clock.millis()
         RemoteRunRequest(
             this.run, payload, pool, demand, estimateMs, requiredLabel, rack, maxPerWorker, dispatch,
             remainingMs = run.deadlineAt - now,
             entryVm = entryVm,
-            entryAgeMs = host.demandAgeMs(entryVm),
+            entryAgeMs = entryAgeMs,
             priority = priority,
             maxWaitMs = (run.latestStartAt - now).coerceAtLeast(0),
             slackMs = onTimeStartAt - now,
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/PeerLivenessTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/PeerLivenessTest.kt
@@ -49,6 +49,42 @@
             }
         }
 
+        // Its jobs would go on after its end, since the loss of a peer that is not known is never noticed.
+        describe("a VM that is known by a request alone") {
+            fun introduced() = PeerLiveness { 700 }.apply { introduce(PEER, now = 1_000, sentAt = 940) shouldBe true }
+
+            it("is lost like any other if no heartbeat follows") {
+                val liveness = introduced()
+                liveness.removeLost(now = 1_700).shouldBeEmpty()
+                liveness.removeLost(now = 1_701) shouldBe listOf(PEER)
+                liveness.aliveAt(PEER.incarnation).shouldBeNull()
+            }
+
+            it("was alive when it made the request, and is not one of those whose heartbeats are read") {
+                val liveness = introduced()
+                liveness.aliveAt(PEER.incarnation) shouldBe 940
+                liveness.live().shouldBeEmpty()
+                liveness.isLive(PEER) shouldBe false
+            }
+
+            it("counts by its heartbeats once they are read, whatever it requests later") {
+                val liveness = introduced()
+                liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 1_500)
+                liveness.introduce(PEER, now = 2_000, sentAt = 2_000) shouldBe true
+                liveness.aliveAt(PEER.incarnation) shouldBe 1_500
+                liveness.removeLost(now = 2_201) shouldBe listOf(PEER)
+            }
+
+            // The request may be one of an earlier incarnation that was held up.
+            it("is not known while another incarnation of it is") {
+                val liveness = introduced()
+                val other = PEER.copy(incarnation = "incarnation-other")
+                liveness.introduce(other, now = 1_100, sentAt = 1_100) shouldBe false
+                liveness.aliveAt(other.incarnation).shouldBeNull()
+                liveness.removeLost(now = 1_101).shouldBeEmpty()
+            }
+        }
+
         describe("the time of the last heartbeat") {
             it("is unknown before the first heartbeat and after the loss of the VM") {
                 val liveness = PeerLiveness { 700 }
