Send start orders only to the incarnation whose run list was read

Cause: the run list of an idle worker is not read, so that an order could reach an incarnation of which nothing had been read; Expected-Instance names the id, which stays the same. An order that waited for a reading of the clock kept its placement over a restart. Change: an order names the start of its incarnation and is sent only on a connection on which that one has sent a run list. On any other connection the run list is read first, in place of the order. A connection ends with its process, so that this holds without a bound of time.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Cell.kt
@@ -150,9 +150,13 @@
     /** True if a worker other than the one to avoid can run [order], now or after other runs have ended. */
     fun couldRunElsewhere(order: RunOrder, now: Long): Boolean = synchronized(lock) { workers.values.canRunElsewhere(order, now) }
 
-    /** [placement] with a lease from the clock that a poll has just read, or null if there is no fresh reading or no such run any more. */
+    /**
+     * [placement] with a lease from the clock that a poll has just read, or null if there is no fresh reading or no such run any more. Null
+     * also if the worker has restarted: the order was placed by the labels and the capacity of the incarnation before.
+     */
     fun withFreshLease(placement: Placement, now: Long): Placement? = synchronized(lock) {
         val worker = workers[placement.worker.id]?.takeIf { it.isUsable() && !it.isClockStale(now) } ?: return@synchronized null
+        if (worker.startedAtMs != placement.incarnationMs) return@synchronized null
         val run = worker.runs[placement.order.task]?.takeIf { it.order.run == placement.order.run } ?: return@synchronized null
         leases.placement(worker, run.order, now)
     }
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/TrackedWorker.kt
@@ -212,6 +212,9 @@
     /**
      * False while the run list shows a later start than the entry. The entry has then the labels and the capacity of an earlier
      * incarnation, and the present one may be of another kind. A start time of 0 is unknown.
+     *
+     * Invariant: no run is started by an entry or a run list of an earlier incarnation. The order goes only to the incarnation whose run
+     * list was read, however long ago that was: see [dandelionpoint.protocol.fleet.StartOrder.startedAtMs].
      */
     fun hasCurrentEntry(): Boolean = entry.startedAtMs == 0L || startedAtMs <= entry.startedAtMs
 
--- a/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerOutcomes.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/WorkerOutcomes.kt
@@ -21,7 +21,7 @@
     when (refusal) {
         StartRefusal.FENCED -> return listOf(ended, CellEvent.Fenced)
         StartRefusal.NO_ROOM, StartRefusal.UNHEALTHY -> health.eject(now, REFUSED_MS)
-        StartRefusal.OTHER_INCARNATION -> hasRunList = false
+        StartRefusal.OTHER_INCARNATION -> forgetRunList()
         StartRefusal.OUTDATED_RUN, StartRefusal.LATE, StartRefusal.INVALID -> Unit
     }
     return listOf(ended)
--- a/src/main/kotlin/dandelionpoint/fleet/CellController.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellController.kt
@@ -91,6 +91,8 @@
         }
         handle(cell.onStart(placement, outcome, clock.millis()))
         if (outcome is StartOutcome.Unknown) pollRuns(placement.worker.id)
+        // The worker's run list may have to be read again.
+        if (outcome is StartOutcome.Refused) wakeSignals[placement.worker.id]?.trySend(Unit)
     }
 
     /** Polls the worker, whose clock was last read long ago. Returns null if it does not answer. */
@@ -102,7 +104,7 @@
      * still counts.
      */
     private suspend fun answerOf(placement: Placement): StartOutcome = coroutineScope {
-        val order = StartOrder(placement.order.run, placement.order.payload, placement.leaseUntilMs, cell.token)
+        val order = with(placement) { StartOrder(order.run, order.payload, leaseUntilMs, cell.token, incarnationMs) }
         val answer = async { timedStart(placement.worker, order) }
         val overdueMs = cell.responseTimes.overdueMs
         val timelyAnswer = if (overdueMs != null) withTimeoutOrNull(overdueMs) { answer.await() } else answer.await()
--- a/src/main/kotlin/dandelionpoint/platform/PlatformWorkers.kt
+++ b/src/main/kotlin/dandelionpoint/platform/PlatformWorkers.kt
@@ -13,25 +13,65 @@
 import dandelionpoint.protocol.fleet.WorkerEntry
 import dandelionpoint.protocol.fleet.WorkerPort
 import dandelionpoint.transport.http.CallThreads
+import dandelionpoint.transport.http.ConnectionCheck
 import dandelionpoint.transport.http.HttpChannel
 import dandelionpoint.transport.http.HttpChannelSettings
 import dandelionpoint.transport.http.HttpOutcome
 import dandelionpoint.transport.http.OneShotBody
+import okhttp3.Connection
 import okhttp3.HttpUrl
 import okhttp3.HttpUrl.Companion.toHttpUrlOrNull
 import okhttp3.Request
+import java.util.Collections
+import java.util.WeakHashMap
 import java.util.concurrent.ConcurrentHashMap
 
 /** Sends calls to workers, over a few persistent connections to each. */
 internal class PlatformWorkers(private val threads: CallThreads) : WorkerPort {
     private val targets = ConcurrentHashMap<String, Target>()
 
-    override suspend fun start(worker: WorkerEntry, order: StartOrder, timeoutMs: Long): StartOutcome =
-        when (val outcome = post(worker, WorkerCall.START, encodeStart(order), timeoutMs)) {
-            is HttpOutcome.NotWritten -> StartOutcome.NotSent(outcome.reason)
+    override suspend fun start(worker: WorkerEntry, order: StartOrder, timeoutMs: Long): StartOutcome {
+        val target = target(worker) ?: return StartOutcome.NotSent(noAddress(worker))
+        val check = IncarnationCheck(target, order)
+        return when (val outcome = post(target, worker, WorkerCall.START, encodeStart(order), timeoutMs, check)) {
+            is HttpOutcome.NotWritten -> check.refusal?.let { StartOutcome.Refused(it) } ?: StartOutcome.NotSent(outcome.reason)
             is HttpOutcome.Lost -> StartOutcome.Unknown(outcome.reason)
             is HttpOutcome.Answer -> startOutcome(outcome)
         }
+    }
+
+    /**
+     * Lets the order pass only on a connection on which the incarnation that it is for has sent a run list. `Expected-Instance` does not
+     * do this, since it has the id of the worker, which stays the same at a restart.
+     */
+    private inner class IncarnationCheck(private val target: Target, private val order: StartOrder) : ConnectionCheck {
+        /** Why the order must not be sent, null if no probe has shown that. */
+        var refusal: StartRefusal? = null
+            private set
+
+        override fun probeFor(connection: Connection, request: Request): Request? {
+            if (target.startOn(connection) == order.startedAtMs) return null
+            // The probe acknowledges no ends, extends no lease and waits for nothing.
+            val list = encodeLease(LeaseCall(order.token, seenEnd = 0, leaseUntilMs = null, waitMs = 0)).encodeToByteArray()
+            return request
+                .newBuilder()
+                .url(target.url(WorkerCall.LEASE))
+                .post(OneShotBody(list, JSON_TYPE))
+                .header("Content-Length", "${list.size}")
+                .build()
+        }
+
+        override fun onProbed(answer: HttpOutcome.Answer): Boolean {
+            val outcome = leaseOutcome(target, answer)
+            refusal = when (outcome) {
+                is LeaseOutcome.Answered -> StartRefusal.OTHER_INCARNATION.takeIf { outcome.report.startedAtMs != order.startedAtMs }
+                is LeaseOutcome.OtherIncarnation -> StartRefusal.OTHER_INCARNATION
+                is LeaseOutcome.Fenced -> StartRefusal.FENCED
+                is LeaseOutcome.NoAnswer -> null
+            }
+            return outcome is LeaseOutcome.Answered && refusal == null
+        }
+    }
 
     private fun startOutcome(answer: HttpOutcome.Answer): StartOutcome = when (answer.status) {
         OK -> decodeClock(answer.body)?.let { StartOutcome.Started(it) } ?: StartOutcome.Unknown("the answer cannot be read")
@@ -51,33 +91,51 @@
     }
 
     override suspend fun stop(worker: WorkerEntry, run: TaskRun, token: Long, timeoutMs: Long): Boolean {
-        val outcome = post(worker, WorkerCall.STOP, encodeStop(run, token), timeoutMs)
+        val target = target(worker) ?: return false
+        val outcome = post(target, worker, WorkerCall.STOP, encodeStop(run, token), timeoutMs)
         return outcome is HttpOutcome.Answer && outcome.status == OK
     }
 
-    override suspend fun lease(worker: WorkerEntry, call: LeaseCall, timeoutMs: Long): LeaseOutcome =
-        when (val outcome = post(worker, WorkerCall.LEASE, encodeLease(call), timeoutMs)) {
+    override suspend fun lease(worker: WorkerEntry, call: LeaseCall, timeoutMs: Long): LeaseOutcome {
+        val target = target(worker) ?: return LeaseOutcome.NoAnswer(noAddress(worker))
+        return when (val outcome = post(target, worker, WorkerCall.LEASE, encodeLease(call), timeoutMs)) {
             is HttpOutcome.NotWritten -> LeaseOutcome.NoAnswer(outcome.reason)
             is HttpOutcome.Lost -> LeaseOutcome.NoAnswer(outcome.reason)
-            is HttpOutcome.Answer -> leaseOutcome(outcome)
+            is HttpOutcome.Answer -> leaseOutcome(target, outcome)
         }
+    }
+
+    /** The outcome that [answer] shows. A run list also shows which incarnation of the worker is at the other end of its connection. */
+    private fun leaseOutcome(target: Target, answer: HttpOutcome.Answer): LeaseOutcome = when (answer.status) {
+        OK -> decodeRunList(answer.body)?.let { report ->
+            answer.connection?.let { target.recordStart(it, report.startedAtMs) }
+            LeaseOutcome.Answered(report)
+        } ?: LeaseOutcome.NoAnswer("the answer cannot be read")
 
-    private fun leaseOutcome(answer: HttpOutcome.Answer): LeaseOutcome = when (answer.status) {
-        OK -> decodeRunList(answer.body)?.let { LeaseOutcome.Answered(it) } ?: LeaseOutcome.NoAnswer("the answer cannot be read")
         CONFLICT -> LeaseOutcome.Fenced
+
         OTHER_INCARNATION -> LeaseOutcome.OtherIncarnation
+
         else -> LeaseOutcome.NoAnswer("status ${answer.status}")
     }
 
-    private suspend fun post(worker: WorkerEntry, call: WorkerCall, body: String, timeoutMs: Long): HttpOutcome {
-        val target = target(worker) ?: return HttpOutcome.NotWritten("worker ${worker.id} has no usable address", unreachable = true)
+    private fun noAddress(worker: WorkerEntry) = "worker ${worker.id} has no usable address"
+
+    private suspend fun post(
+        target: Target,
+        worker: WorkerEntry,
+        call: WorkerCall,
+        body: String,
+        timeoutMs: Long,
+        check: ConnectionCheck? = null,
+    ): HttpOutcome {
         val request = Request.Builder().url(target.url(call)).post(OneShotBody(body.encodeToByteArray(), JSON_TYPE))
         try {
             request.header("Expected-Instance", worker.id)
         } catch (e: IllegalArgumentException) {
             return HttpOutcome.NotWritten("no request can be sent to worker ${worker.id}: ${e.message}", unreachable = true)
         }
-        return target.channel.send(request, timeoutMs)
+        return target.channel.send(request, timeoutMs, check)
     }
 
     private fun target(worker: WorkerEntry): Target? {
@@ -102,7 +160,17 @@
     private class Target(base: HttpUrl, val channel: HttpChannel) {
         private val urls = WorkerCall.entries.map { base.newBuilder().addPathSegment(it.path).build() }
 
+        /** Start times of the incarnations that have sent run lists, by the connections on which they did. */
+        private val starts = Collections.synchronizedMap(WeakHashMap<Connection, Long>())
+
         fun url(call: WorkerCall): HttpUrl = urls[call.ordinal]
+
+        /** When the incarnation at the other end of [connection] started, null if it has sent no run list there. */
+        fun startOn(connection: Connection): Long? = starts[connection]
+
+        fun recordStart(connection: Connection, startedAtMs: Long) {
+            starts[connection] = startedAtMs
+        }
     }
 
     private companion object {
--- a/src/main/kotlin/dandelionpoint/protocol/fleet/LeasedWorker.kt
+++ b/src/main/kotlin/dandelionpoint/protocol/fleet/LeasedWorker.kt
@@ -19,9 +19,10 @@
 
 /**
  * An order to start a run with the lease [leaseUntilMs], a time on the worker's clock. [token] is the fencing token: a worker refuses
- * orders with a token below the highest that it has seen.
+ * orders with a token below the highest that it has seen. The order is for the incarnation of the worker that says in its run lists that it
+ * started at [startedAtMs] (wall clock, ms; 0 if they don't say it), and for no other one.
  */
-data class StartOrder(val run: TaskRun, val payload: String, val leaseUntilMs: Long, val token: Long)
+data class StartOrder(val run: TaskRun, val payload: String, val leaseUntilMs: Long, val token: Long, val startedAtMs: Long)
 
 /**
  * Why a worker refused to start a run; it has then not started it. FENCED: it has seen a higher token. OUTDATED_RUN: this run or a later
@@ -79,6 +80,10 @@
 
 /** Sends calls to workers. Each call is sent once, without retries. All times are in ms. */
 interface WorkerPort {
+    /**
+     * Starts a run. Where the incarnation of [order] has ended, it is refused with [StartRefusal.OTHER_INCARNATION], however recently that
+     * was and although the worker has kept its id and address.
+     */
     suspend fun start(worker: WorkerEntry, order: StartOrder, timeoutMs: Long): StartOutcome
 
     /** Stops a run; if its start order has not arrived yet, the worker will refuse it. Returns false if the worker did not confirm. */
--- a/src/main/kotlin/dandelionpoint/standin/fleet/MemoryWorkers.kt
+++ b/src/main/kotlin/dandelionpoint/standin/fleet/MemoryWorkers.kt
@@ -115,6 +115,7 @@
         val task = order.run.task
         val used = worker.running.values.fold(Demand(0)) { sum, running -> sum + running.demand }
         val refusal = when {
+            order.startedAtMs != worker.entry.startedAtMs -> StartRefusal.OTHER_INCARNATION
             order.token < worker.highestToken -> StartRefusal.FENCED
             order.leaseUntilMs <= now -> StartRefusal.LATE
             worker.running[task]?.run == order.run -> return StartOutcome.Started(now)
--- a/src/main/kotlin/dandelionpoint/transport/http/HttpChannel.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/HttpChannel.kt
@@ -98,10 +98,13 @@
 internal class HttpChannel(private val settings: HttpChannelSettings, private val threads: CallThreads) : AutoCloseable {
     private val client = buildClient()
 
-    /** Sends [request] at most once and waits up to [timeoutMs] for its response. Cancelling the coroutine cancels the exchange. */
-    suspend fun send(request: Request.Builder, timeoutMs: Long): HttpOutcome {
+    /**
+     * Sends [request] at most once, on a connection that passes [check], and waits up to [timeoutMs] for its response. Cancelling the
+     * coroutine cancels the exchange.
+     */
+    suspend fun send(request: Request.Builder, timeoutMs: Long, check: ConnectionCheck? = null): HttpOutcome {
         val gate = WriteGate()
-        val tagged = request.tag(WriteGate::class.java, gate).build()
+        val tagged = request.tag(WriteGate::class.java, gate).tag(ConnectionCheck::class.java, check).build()
         val outcome = withTimeoutOrNull(timeoutMs) { sendOverLiveConnection(tagged, gate) }
         return outcome ?: lostOrNotWritten(gate, "no answer within $timeoutMs ms")
     }
@@ -109,14 +112,17 @@
     /** Closes idle connections. Calls in flight go on. */
     override fun close() = client.connectionPool.evictAll()
 
-    /** Repeats the call while it gets a stale connection. Each stale connection is closed, so the pool size limits the repetitions. */
+    /**
+     * Repeats the call while it gets a stale connection, or one that had to be probed and has passed. Each stale connection is closed and
+     * none is probed twice, so that the number of connections limits the repetitions.
+     */
     private suspend fun sendOverLiveConnection(request: Request, gate: WriteGate): HttpOutcome {
         while (true) {
             client.newCall(request).await(gate)?.let { return it }
         }
     }
 
-    /** Returns null if the call got a stale connection; nothing was written then. */
+    /** Returns null if the call got a stale connection or one that had to be probed; nothing of the request was written then. */
     private suspend fun Call.await(gate: WriteGate): HttpOutcome? = suspendCancellableCoroutine { continuation ->
         continuation.invokeOnCancellation { cancel() }
         try {
@@ -126,19 +132,31 @@
         }
     }
 
-    /** Sends [call] and reads its response on this thread. Returns null if the call got a stale connection. */
+    /** Sends [call] and reads its response on this thread. Returns null if the call is to be repeated. */
     private fun exchange(call: Call, gate: WriteGate): HttpOutcome? = try {
-        call.execute().use { readComplete(it) }
+        val outcome = call.execute().use { readComplete(it, gate) }
+        if (gate.isProbe) afterProbe(call, outcome) else outcome
     } catch (_: StaleConnectionException) {
         null
     } catch (e: IOException) {
         lostOrNotWritten(gate, e.describe())
     }
 
+    private fun afterProbe(call: Call, outcome: HttpOutcome): HttpOutcome? {
+        if (outcome !is HttpOutcome.Answer) {
+            return HttpOutcome.NotWritten(
+                "the connection could not be probed: $outcome",
+                unreachable = false,
+            )
+        }
+        val hasPassed = checkNotNull(call.request().tag(ConnectionCheck::class.java)).onProbed(outcome)
+        return if (hasPassed) null else HttpOutcome.NotWritten("the connection has not passed its probe", unreachable = false)
+    }
+
     private fun lostOrNotWritten(gate: WriteGate, reason: String): HttpOutcome =
         if (gate.tryAbandon()) HttpOutcome.NotWritten(reason, gate.connecting) else HttpOutcome.Lost(reason)
 
-    private fun readComplete(response: Response): HttpOutcome = try {
+    private fun readComplete(response: Response, gate: WriteGate): HttpOutcome = try {
         val body = response.body
         when {
             !response.hasDelimitedBody() -> HttpOutcome.Lost("response body without Content-Length or chunked encoding", response.code)
@@ -146,7 +164,7 @@
             body.isLongerThan(settings.maxBodyBytes) ->
                 HttpOutcome.Lost("response body above ${settings.maxBodyBytes} bytes", response.code)
 
-            else -> HttpOutcome.Answer(response.code, body.bytes())
+            else -> HttpOutcome.Answer(response.code, body.bytes(), gate.connection)
         }
     } catch (e: IOException) {
         HttpOutcome.Lost(e.describe(), response.code)
@@ -162,6 +180,7 @@
         .followSslRedirects(false)
         .socketFactory(ChannelSocketFactory)
         .addNetworkInterceptor(StaleConnectionCheck)
+        .addNetworkInterceptor(ConnectionCheckInterceptor)
         .connectTimeout(settings.connectTimeoutMs, TimeUnit.MILLISECONDS)
         .readTimeout(0, TimeUnit.MILLISECONDS) // `send` limits the whole exchange.
         .writeTimeout(0, TimeUnit.MILLISECONDS)
--- a/src/main/kotlin/dandelionpoint/transport/http/HttpOutcome.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/HttpOutcome.kt
@@ -1,9 +1,11 @@
 package dandelionpoint.transport.http
 
+import okhttp3.Connection
+
 /** Outcome of an HTTP exchange, as observed by the sender of the request. */
 internal sealed interface HttpOutcome {
-    /** A complete response. */
-    class Answer(val status: Int, val body: ByteArray) : HttpOutcome
+    /** A complete response, which was read from [connection]. */
+    class Answer(val status: Int, val body: ByteArray, val connection: Connection? = null) : HttpOutcome
 
     /** No byte of the request was written, and none will be. [unreachable] is true if no connection could be established. */
     data class NotWritten(val reason: String, val unreachable: Boolean) : HttpOutcome
--- a/src/main/kotlin/dandelionpoint/transport/http/WriteGate.kt
+++ b/src/main/kotlin/dandelionpoint/transport/http/WriteGate.kt
@@ -6,6 +6,7 @@
 package dandelionpoint.transport.http
 
 import okhttp3.Call
+import okhttp3.Connection
 import okhttp3.EventListener
 import okhttp3.Protocol
 import java.io.IOException
@@ -23,8 +24,29 @@
     @Volatile
     var connecting = false
 
-    /** Marks the exchange as written. Returns false if it was abandoned before; nothing may be written then. */
-    fun tryWrite(): Boolean = state.compareAndSet(State.WAITING, State.WRITTEN) || state.get() == State.WRITTEN
+    /** The connection that was used last, null if there was none. */
+    @Volatile
+    var connection: Connection? = null
+        private set
+
+    /** True if a probe is sent on [connection] in place of the request, see [ConnectionCheck]. */
+    @Volatile
+    var isProbe = false
+        private set
+
+    /** The request, or a probe in its place, is about to be written to [connection]. */
+    fun begin(connection: Connection, isProbe: Boolean) {
+        this.connection = connection
+        this.isProbe = isProbe
+    }
+
+    /**
+     * Marks the exchange as written, unless it is that of a probe. Returns false if it was abandoned before; nothing may be written then.
+     */
+    fun tryWrite(): Boolean {
+        if (isProbe) return state.get() != State.ABANDONED
+        return state.compareAndSet(State.WAITING, State.WRITTEN) || state.get() == State.WRITTEN
+    }
 
     /** Abandons the exchange. Returns true if nothing was written; nothing will be written then. */
     fun tryAbandon(): Boolean = state.compareAndSet(State.WAITING, State.ABANDONED) || state.get() == State.ABANDONED
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/WorkerIncarnationTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/WorkerIncarnationTest.kt
@@ -172,6 +172,18 @@
                 cell.withFreshLease(placement, 50_010).shouldBeNull()
             }
 
+            // The new entry may be read while the order waits for the reading that shows the restart.
+            it("gets no run whose order waited for a reading of its clock, although its new entry has been read") {
+                val cell = Cell("akl-a", TOKEN).apply {
+                    updateWorkers(listOf(entry("a", startedAtMs = 1)))
+                    reportOf(startedAtMs = 1, now = 0)
+                }
+                val placement = cell.place(orderFor("a"), 50_000).shouldNotBeNull()
+                cell.updateWorkers(listOf(entry("b", RESTARTED_AT_MS)))
+                cell.reportOf(RESTARTED_AT_MS, now = 50_010)
+                cell.withFreshLease(placement, 50_010).shouldBeNull()
+            }
+
             // A false start time in one answer must not keep the worker unusable for good.
             it("has its run list read again, and gets runs once that list shows the start of its entry") {
                 val cell = restartedCell()
@@ -182,6 +194,19 @@
             }
         }
 
+        describe("a worker that has refused an order for an earlier incarnation") {
+            it("gets no run before its run list has been read") {
+                val cell = Cell("akl-a", TOKEN).apply {
+                    updateWorkers(listOf(entry("a", startedAtMs = 1)))
+                    reportOf(startedAtMs = 1, now = 0)
+                }
+                val placement = cell.place(orderFor("a"), 10).shouldNotBeNull()
+                cell.onStart(placement, StartOutcome.Refused(StartRefusal.OTHER_INCARNATION), 11)
+                cell.place(orderFor("a", "b"), 12).shouldBeNull()
+                cell.planLease(ID, 13).shouldNotBeNull().call.leaseUntilMs.shouldBeNull()
+            }
+        }
+
         describe("a worker whose entry has no start time") {
             it("gets runs as before") {
                 val cell = Cell("akl-a", TOKEN)
--- a/src/test/kotlin/dandelionpoint/endtoend/PlatformStubs.kt
+++ b/src/test/kotlin/dandelionpoint/endtoend/PlatformStubs.kt
@@ -139,7 +139,7 @@
     }
 
     private suspend fun start(body: JsonObject): Answer {
-        val order = StartOrder(body.run(), body.text("spec"), body.number("deadline_ms"), body.number("fencing_token"))
+        val order = StartOrder(body.run(), body.text("spec"), body.number("deadline_ms"), body.number("fencing_token"), worker.startedAtMs)
         return when (val outcome = workers.start(worker, order, CALL_MS)) {
             is StartOutcome.Started -> Answer(OK, buildJsonObject { put("clock_ms", outcome.clockMs) })
             else -> Answer(CONFLICT, buildJsonObject { put("reason", "room") })
--- a/src/test/kotlin/dandelionpoint/platform/PlatformBodiesTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformBodiesTest.kt
@@ -141,7 +141,7 @@
             // Guards against a payload that breaks the body of a start order.
             it("contains what was ordered, whatever the payload") {
                 checkAll(PropTestConfig(seed = 43), Arb.string(0..200), Arb.long(0L..Long.MAX_VALUE)) { payload, number ->
-                    val order = StartOrder(TaskRun(TaskRef("00ab", 1, 17), 3), payload, leaseUntilMs = number, token = 7)
+                    val order = StartOrder(TaskRun(TaskRef("00ab", 1, 17), 3), payload, leaseUntilMs = number, token = 7, startedAtMs = 1)
                     val body = parseObject(encodeStart(order).encodeToByteArray()).shouldNotBeNull()
                     body.text("task") shouldBe "00ab.0.1.17"
                     body.text("spec") shouldBe payload
--- a/src/test/kotlin/dandelionpoint/platform/PlatformWorkersTest.kt
+++ b/src/test/kotlin/dandelionpoint/platform/PlatformWorkersTest.kt
@@ -24,6 +24,7 @@
 private const val TIMEOUT_MS = 5_000L
 private val CALL = LeaseCall(token = 1, seenEnd = 0, leaseUntilMs = null, waitMs = 0)
 private val RUN = TaskRun(TaskRef("5c0e7a21d94b36f8", 1, 17), 2)
+private val ORDER = StartOrder(RUN, "", leaseUntilMs = 1, token = 1, startedAtMs = 17)
 
 /** A worker that answers every call with status 200 and [answer]. */
 private class OddWorker : AutoCloseable {
@@ -62,7 +63,11 @@
                     withClue(entry.toString()) {
                         workers.lease(entry, CALL, TIMEOUT_MS).shouldBeInstanceOf<LeaseOutcome.NoAnswer>()
                         workers.stop(entry, RUN, token = 1, timeoutMs = TIMEOUT_MS) shouldBe false
-                        workers.start(entry, StartOrder(RUN, "", 1, 1), TIMEOUT_MS).shouldBeInstanceOf<StartOutcome.NotSent>()
+                        workers.start(
+                            entry,
+                            ORDER,
+                            TIMEOUT_MS,
+                        ).shouldBeInstanceOf<StartOutcome.NotSent>()
                     }
                 }
             }
@@ -108,7 +113,7 @@
                 checkAll(PropTestConfig(seed = 29, iterations = 300), oddDocuments(VALID_RUN_LIST)) { bytes ->
                     worker.answer = bytes
                     workers.lease(worker.entry, CALL, TIMEOUT_MS)
-                    workers.start(worker.entry, StartOrder(RUN, "", 1, 1), TIMEOUT_MS)
+                    workers.start(worker.entry, ORDER, TIMEOUT_MS)
                 }
             }
         }
--- a/src/test/kotlin/dandelionpoint/platform/WorkerCallBenchmark.kt
+++ b/src/test/kotlin/dandelionpoint/platform/WorkerCallBenchmark.kt
@@ -95,7 +95,7 @@
                 var run = 0
                 while (System.nanoTime() < endAt) {
                     run++
-                    val order = StartOrder(TaskRun(TaskRef("5c0e7a21d94b36f8", 0, run), 1), "x".repeat(100), 482_113, 7)
+                    val order = StartOrder(TaskRun(TaskRef("5c0e7a21d94b36f8", 0, run), 1), "x".repeat(100), 482_113, 7, startedAtMs = 1)
                     val start = async { port.start(worker.entry, order, TIMEOUT_MS) }
                     val lease = port.lease(worker.entry, LeaseCall(7, run.toLong(), 482_113, 250), TIMEOUT_MS)
                     if (lease is LeaseOutcome.Answered && lease.report.ended.size == 1) answered.incrementAndGet()
