--- a/src/main/kotlin/dandelionpoint/coordination/fleet/PeerLiveness.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/PeerLiveness.kt
@@ -111,8 +111,7 @@
     fun reportedAliveAt(reporter: String, vm: String): Long? = synchronized(lock) { reported[Report(reporter, vm)] }
 
     /** The known peers whose heartbeats are read. */
-    fun live(): List<LivePeer> =
-        synchronized(lock) { peers.values.mapNotNull { peer -> peer.heartbeat?.let { LivePeer(peer.vm, it) } } }
+    fun live(): List<LivePeer> = synchronized(lock) { peers.values.mapNotNull { peer -> peer.heartbeat?.let { LivePeer(peer.vm, it) } } }
 
     /** True if [vm] is one of the [live] peers. */
     fun isLive(vm: VmIdentity): Boolean = heartbeat(vm) != null
--- a/src/main/kotlin/dandelionpoint/fleet/RemoteRunRequests.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/RemoteRunRequests.kt
@@ -152,8 +152,7 @@
         ended(run, RunEnd.LOST, isReported = false)
     }
 
-    private fun ended(run: RemoteRun, message: PeerMessage) =
-        ended(run, (message as? RunAnswer)?.end ?: RunEnd.LOST, isReported = true)
+    private fun ended(run: RemoteRun, message: PeerMessage) = ended(run, (message as? RunAnswer)?.end ?: RunEnd.LOST, isReported = true)
 
     /** [run] has ended. Only the first call counts. */
     private fun ended(run: RemoteRun, end: RunEnd, isReported: Boolean) {
