Connect to a peer at once when it has connected itself

Cause: a VM that starts again is not ready before it has read a heartbeat of a peer, and a peer whose last attempt to connect was refused waited up to 1 s before the next one, also if the started VM had connected to it meanwhile. Change: a connection that a peer opens ends the wait (ReconnectDelay). Measured: PeerNetworkTest, "a VM that starts after its peers have tried to reach it in vain", fails without the call of onSeen.

--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -1,6 +1,6 @@
 /*
  * Connections to the other entry VMs. Each VM opens one connection to each peer for its own calls and messages, and serves the peers'
- * connections on its own port. When an outbound connection ends, it is opened again with exponential backoff.
+ * connections on its own port. When an outbound connection ends, it is opened again with exponential backoff, see [ReconnectDelay].
  */
 package dandelionpoint.transport.peer
 
@@ -21,7 +21,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
@@ -55,14 +54,17 @@
     private val codec: FrameCodec = FrameCodec(),
     uptime: UptimeClock = UptimeClock(Clock.System),
     private val maxInbound: Int = MAX_INBOUND_CONNECTIONS,
+    private val reconnect: ReconnectRules = ReconnectRules(),
 ) : PeerTransport {
     /** Counts of frames and bytes. */
     val traffic = PeerTraffic()
     private val stamps = FrameStamps(uptime)
     private val selector = SelectorManager(Dispatchers.IO)
 
-    /** Jobs that open the outbound connection to an address, and reopen it when it ends. */
-    private val reconnectors = ConcurrentHashMap<PeerAddress, Job>()
+    /** [job] opens the outbound connection to an address, and reopens it when it ends. */
+    private class Reconnector(val delay: ReconnectDelay, val job: Job)
+
+    private val reconnectors = ConcurrentHashMap<PeerAddress, Reconnector>()
 
     /** Outbound connections that have completed the handshake. */
     private val connections = ConcurrentHashMap<VmIdentity, PeerConnection>()
@@ -123,7 +125,7 @@
             val known = greet { PeerConnection(socket, local, codec, handler, traffic).also { opened = it }.handshake() }
             val connection = checkNotNull(opened)
             known.forEach { connect(PeerAddress(it.host, it.port)) }
-            connect(PeerAddress(connection.remote.host, connection.remote.port))
+            onSeen(PeerAddress(connection.remote.host, connection.remote.port))
             inboundConnections += connection
             connection.serve(scope)
         } catch (e: CancellationException) {
@@ -140,26 +142,33 @@
     /** Opens a connection to [address] and reopens it until [retain] or [close] ends that. Ignores this VM's address and known ones. */
     override fun connect(address: PeerAddress) {
         if (address == PeerAddress(local.vm.host, local.vm.port)) return
-        reconnectors.computeIfAbsent(address) { scope.launch { keepConnected(address) } }
+        reconnectors.computeIfAbsent(address) {
+            val delay = ReconnectDelay(reconnect)
+            Reconnector(delay, scope.launch { keepConnected(address, delay) })
+        }
+    }
+
+    /** The VM at [address] has opened a connection to this one. */
+    private fun onSeen(address: PeerAddress) {
+        connect(address)
+        reconnectors[address]?.delay?.onSeen()
     }
 
     /** Stops reconnecting to addresses that are not in [keep]. Open connections are not closed. */
     fun retain(keep: Set<PeerAddress>) {
         val open = connections.keys.map { PeerAddress(it.host, it.port) }.toSet()
-        (reconnectors.keys - keep - open).forEach { reconnectors.remove(it)?.cancel() }
+        (reconnectors.keys - keep - open).forEach { reconnectors.remove(it)?.job?.cancel() }
     }
 
-    private suspend fun keepConnected(address: PeerAddress) {
-        var delayMs = MIN_RECONNECT_DELAY_MS
+    private suspend fun keepConnected(address: PeerAddress, delay: ReconnectDelay) {
         while (scope.isActive) {
-            if (runConnection(address)) delayMs = MIN_RECONNECT_DELAY_MS
-            delay(delayMs)
-            delayMs = (delayMs * 2).coerceAtMost(MAX_RECONNECT_DELAY_MS)
+            runConnection(address, delay)
+            delay.awaitNext()
         }
     }
 
-    /** Opens a connection and serves it until it ends. Returns true if the handshake succeeded. */
-    private suspend fun runConnection(address: PeerAddress): Boolean {
+    /** Opens a connection and serves it until it ends. */
+    private suspend fun runConnection(address: PeerAddress, delay: ReconnectDelay) {
         var connection: PeerConnection? = null
         var ready = false
         try {
@@ -170,6 +179,7 @@
             connection = PeerConnection(socket, local, codec, handler, traffic)
             connection.handshake().forEach { connect(PeerAddress(it.host, it.port)) }
             ready = true
+            delay.onConnected()
             connections[connection.remote] = connection
             events.connected(connection.remote)
             connection.serve(scope)
@@ -184,7 +194,6 @@
             connection?.close()
             if (ready && connection != null && connections.remove(connection.remote, connection)) events.disconnected(connection.remote)
         }
-        return ready
     }
 
     private fun logConnectionEnd(side: String, cause: Exception) {
@@ -224,7 +233,7 @@
     override fun connected(): Set<VmIdentity> = connections.keys.toSet()
 
     override fun close() {
-        reconnectors.values.forEach { it.cancel() }
+        reconnectors.values.forEach { it.job.cancel() }
         runCatching { server.close() }
         connections.values.forEach { it.close() }
         selector.close()
@@ -247,7 +256,5 @@
         /** Number of peers that the first frame of a connection names: enough to find all others, while the frame stays small. */
         const val MAX_KNOWN_IN_HELLO = 8
         const val CONNECT_TIMEOUT_MS = 1_000L
-        const val MIN_RECONNECT_DELAY_MS = 100L
-        const val MAX_RECONNECT_DELAY_MS = 1_000L
     }
 }
--- a/src/test/kotlin/dandelionpoint/transport/peer/PeerNetworkTest.kt
+++ b/src/test/kotlin/dandelionpoint/transport/peer/PeerNetworkTest.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -37,6 +38,10 @@
 private const val MESSAGES_ARRIVE_MS = 200L
 
 /** An entry VM with only its peer network. */
+/** By then a VM with [SLOW_RECONNECT] has failed seven times to connect to an address, in ms. Its next attempt is nearly 3 s later. */
+private const val FAILED_ATTEMPTS_MS = 3_400L
+private val SLOW_RECONNECT = ReconnectRules(minMs = 50, maxMs = 60_000)
+
 private class Node(val scope: CoroutineScope, val network: PeerNetwork, val vm: VmIdentity)
 
 private suspend fun node(
@@ -45,10 +50,11 @@
     dispatcher: CoroutineDispatcher = Dispatchers.IO,
     events: PeerEvents = NoEvents,
     uncaught: MutableCollection<Throwable> = ConcurrentLinkedQueue(),
+    reconnect: ReconnectRules = ReconnectRules(),
     handler: PeerHandler,
 ): Node {
     val scope = CoroutineScope(SupervisorJob() + dispatcher + CoroutineExceptionHandler { _, failure -> uncaught += failure })
-    val network = PeerNetwork(scope, cluster, handler, events)
+    val network = PeerNetwork(scope, cluster, handler, events, reconnect = reconnect)
     val port = network.bind("127.0.0.1", 0)
     val vm = VmIdentity(name, "incarnation-$name", "region", "dc", "127.0.0.1", port)
     network.start(vm)
@@ -88,6 +94,28 @@
             }
         }
 
+        // It would not be ready meanwhile: it knows no owner of a cell before it has read a heartbeat of a peer.
+        describe("a VM that starts after its peers have tried to reach it in vain") {
+            it("is connected to once it has connected to them, however late their next attempt is") {
+                val late = node("late") { _, _, _ -> null }
+                val waiting = node("waiting", reconnect = SLOW_RECONNECT) { _, _, _ -> null }
+                late.network.close()
+                waiting.network.connect(PeerAddress(late.vm.host, late.vm.port))
+                delay(FAILED_ATTEMPTS_MS)
+                val started = PeerNetwork(late.scope, "test", { _, _, _ -> null }, NoEvents)
+                started.bind(late.vm.host, late.vm.port)
+                started.start(late.vm)
+                try {
+                    started.connect(PeerAddress(waiting.vm.host, waiting.vm.port))
+                    eventually(2.seconds) { waiting.network.connected() shouldBe setOf(late.vm) }
+                } finally {
+                    waiting.stop()
+                    started.close()
+                    late.stop()
+                }
+            }
+        }
+
         describe("two VMs") {
             it("call each other, and a call without a reply is reported as lost, not as not sent") {
                 val unresponsive =
