Follow no offer of a cell by a VM that is not known

Cause: the new owner asks a former owner for its jobs and runs only if it is a live peer; one that had been lost and offered a cell before its next heartbeat was taken for one that has nothing in progress. Measured: CellClaimsTest, "take over no cell on the offer of a VM that they do not know"; it cannot be written for the code before, which asked nothing of the sender.

--- a/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/CellClaims.kt
@@ -32,6 +32,9 @@
     /** The live peer with [name] that is not stopping, null if there is none. */
     fun peer(name: String): VmIdentity?
 
+    /** True if [vm] is a live peer, so that what it uses of a cell is asked for when this VM takes the cell over. */
+    fun isLive(vm: VmIdentity): Boolean
+
     /** The peer that reports to own [cell], null if there is none. */
     fun peerOwner(cell: String): CellOwner?
 
@@ -217,9 +220,13 @@
 
     private fun wasOffered(own: OwnClaim) = clock.millis() - (own.offeredAt ?: NEVER) < HANDOVER_MS
 
+    /**
+     * The cells that live owners have offered, with those. A VM that is not known may have jobs and runs of the cell that this VM would not
+     * ask for: its offer is not followed, and is made again.
+     */
     private fun requestedHandovers(): Map<String, VmIdentity?> {
         val requests = handoverRequests.keys.toList().mapNotNull { cell -> handoverRequests.remove(cell)?.let { cell to it } }
-        return requests.filter { (cell, _) -> !host.isStopping && !claims.containsKey(cell) }.toMap()
+        return requests.filter { (cell, from) -> !host.isStopping && !claims.containsKey(cell) && host.isLive(from) }.toMap()
     }
 
     /** Cells without an owner that this VM should claim now. */
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -377,6 +377,8 @@
 
         override fun peer(name: String): VmIdentity? = livePeer(name)
 
+        override fun isLive(vm: VmIdentity): Boolean = peers.liveness.isLive(vm)
+
         override fun peerOwner(cell: String): CellOwner? = peers.directory.owner(cell)
 
         override suspend fun canReach(dataCentre: String): Boolean = unserved.hasJustReached(dataCentre)
--- a/src/test/kotlin/dandelionpoint/fleet/CellClaimsTest.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/CellClaimsTest.kt
@@ -43,6 +43,9 @@
         override val self = VmIdentity(name, "incarnation-$name", "north", DATA_CENTRE, "127.0.0.1", 1, cpuMilli)
         override var isStopping = false
         val store = CountingRows(rows)
+
+        /** Names of the VMs that this one does not know. */
+        val unknown = mutableSetOf<String>()
         val owned = HashMap<String, Long>()
         private val plan = CellPlan()
         private val claims = CellClaims(store, this, plan, FleetRules(), clock)
@@ -51,6 +54,8 @@
 
         override fun peer(name: String): VmIdentity? = vms[name]?.takeIf { !it.isStopping }?.self
 
+        override fun isLive(vm: VmIdentity): Boolean = vm.name !in unknown && vms[vm.name]?.self == vm
+
         override fun peerOwner(cell: String): CellOwner? = vms.values
             .filter { it !== this }
             .mapNotNull { vm -> vm.owned[cell]?.let { CellOwner(vm.self, it) } }
@@ -199,6 +204,21 @@
                 }
             }
 
+            // Its jobs and runs would not be asked for, and the new owner would start them again.
+            it("take over no cell on the offer of a VM that they do not know, and take it over once they know it") {
+                withVms {
+                    start("vm-1")
+                    runFor(1_500)
+                    val second = start("vm-2")
+                    second.unknown += "vm-1"
+                    runFor(6_000)
+                    second.owned.keys.shouldBeEmpty()
+                    second.unknown.clear()
+                    runFor(1_500)
+                    second.owned.isEmpty() shouldBe false
+                }
+            }
+
             it("find their claims when the answers of the store are lost") {
                 withVms {
                     rows.losesAnswers = true
