Let calls take time in the test of the capacity after a takeover

Change: calls and answers take up to 30 ms and overtake each other, an order whose answer was lost arrives up to 0.6 s late, and the worker refuses lower tokens and stopped runs. The check is the same.

--- a/src/test/kotlin/dandelionpoint/coordination/fleet/TakeoverCapacityTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/TakeoverCapacityTest.kt
@@ -41,7 +41,10 @@
     onStopped(ID, listed.run, now = 2)
 }
 
-/** A worker that starts whatever it is told to, with runs of a former owner, and a cell that takes it over. Stops take some time. */
+/**
+ * A worker that starts whatever it is told to under the highest token that it has seen, with runs of a former owner and orders of it that
+ * are still under way, and a cell that takes it over. Calls and answers take some time, and overtake each other; so do stops.
+ */
 private class UnguardedWorker(seed: Long) {
     private class Run(val demand: Demand, val endsAt: Long, var stopsAt: Long = Long.MAX_VALUE)
 
@@ -52,6 +55,10 @@
     private val running = HashMap<TaskRun, Run>()
     private val ended = mutableListOf<EndedRow>()
     private val deliveries = mutableListOf<Delivery>()
+
+    /** Runs that were stopped before their orders arrived. */
+    private val refused = HashSet<TaskRun>()
+    private var highestToken = TOKEN - 1
     private var now = 0L
     private var jobs = 0
     private var lastEnd = 0L
@@ -60,7 +67,9 @@
         private set
 
     init {
-        repeat(random.nextInt(1, 4)) { running[order("former-$it").run] = Run(Demand(random.nextInt(1, 6) * 1_000, 64), nextEnd()) }
+        // Together with the orders under way, at most 14 of 16 cores.
+        repeat(random.nextInt(1, 4)) { running[order("former-$it").run] = Run(Demand(random.nextInt(1, 5) * 1_000, 64), nextEnd()) }
+        repeat(random.nextInt(3)) { later { start(order("under-way-$it"), Demand(1_000, 64), TOKEN - 1) } }
     }
 
     private fun nextEnd() = now + random.nextLong(20, 2_000)
@@ -84,30 +93,48 @@
 
     private fun readRunList() {
         val plan = cell.planLease(ID, now) ?: cell.planPoll(ID, now) ?: return
-        ended.removeIf { it.number <= plan.call.seenEnd }
-        val report = LeaseReport(now, startedAtMs = 1, running.keys.map { RunningRow(it, percent = 50) }, ended.toList())
-        later { cell.onReport(plan, report, now).stops().forEach { stop(it) } }
+        later {
+            highestToken = TOKEN
+            ended.removeIf { it.number <= plan.call.seenEnd }
+            val report = LeaseReport(now, startedAtMs = 1, running.keys.map { RunningRow(it, percent = 50) }, ended.toList())
+            later { cell.onReport(plan, report, now).stops().forEach { stop(it) } }
+        }
     }
 
     private fun stop(run: TaskRun) = later {
-        running[run]?.let { it.stopsAt = minOf(it.stopsAt, now + random.nextLong(MAX_STOP_MS)) }
+        highestToken = TOKEN
+        running[run]?.let { it.stopsAt = minOf(it.stopsAt, now + random.nextLong(MAX_STOP_MS)) } ?: refused.add(run)
         later { cell.onStopped(ID, run, now) }
     }
 
-    private fun later(apply: () -> Unit) {
-        deliveries += Delivery(now + random.nextLong(1, MAX_DELAY_MS), apply)
+    /** An order under [token] has arrived. Returns false if it is refused. */
+    private fun start(order: RunOrder, demand: Demand, token: Long): Boolean {
+        if (token < highestToken || order.run in refused) return false
+        highestToken = token
+        running[order.run] = Run(demand, nextEnd())
+        val used = running.values.sumOf { it.demand.cpuMilli }
+        if (used > CAPACITY_MILLI) violations += "$now: $used of $CAPACITY_MILLI in use after the start of ${order.run}"
+        return true
+    }
+
+    private fun later(maxMs: Long = MAX_DELAY_MS, apply: () -> Unit) {
+        deliveries += Delivery(now + random.nextLong(1, maxMs), apply)
     }
 
     private fun place() {
         val order = order("j${jobs++}").copy(demand = Demand(random.nextInt(1, 8) * 1_000, 64))
         val placement = cell.place(order, now) ?: return
-        val used = running.values.sumOf { it.demand.cpuMilli } + order.demand.cpuMilli
-        if (used > placement.worker.capacity.cpuMilli) violations += "$now: $used of ${placement.worker.capacity.cpuMilli} in use"
+        // The answer to some orders is lost, so that the cell may take their runs for lost. Some of these orders arrive much later.
+        if (random.nextDouble() < LOST_ANSWER_SHARE) {
+            later(maxMs = MAX_LATE_MS) { start(order, order.demand, TOKEN) }
+            deliveries += Delivery(now + ANSWER_TIMEOUT_MS) { cell.onStart(placement, StartOutcome.Unknown("lost"), now) }
+        } else {
+            later {
+                val outcome = if (start(order, order.demand, TOKEN)) StartOutcome.Started(now) else LATE
+                later { cell.onStart(placement, outcome, now) }
+            }
+        }
         starts++
-        running[order.run] = Run(order.demand, nextEnd())
-        // The answer to some orders is lost, so that the cell may take their runs for lost.
-        val isLost = random.nextDouble() < LOST_ANSWER_SHARE
-        cell.onStart(placement, if (isLost) StartOutcome.Unknown("lost") else StartOutcome.Started(now), now)
     }
 
     private companion object {
@@ -116,6 +143,10 @@
         const val LOST_ANSWER_SHARE = 0.2
         const val MAX_DELAY_MS = 30L
         const val MAX_STOP_MS = 50L
+        const val MAX_LATE_MS = 600L
+        const val ANSWER_TIMEOUT_MS = 60L
+        val CAPACITY_MILLI = worker(ID).capacity.cpuMilli
+        val LATE = StartOutcome.Refused(StartRefusal.LATE)
     }
 }
 
@@ -169,7 +200,7 @@
         }
 
         describe("run lists, stops and lost answers in any order") {
-            it("never lead to a start beyond the capacity of a worker that does not guard it") {
+            it("never lead to a start beyond the capacity of a worker that does not guard it, nor do orders of the former owner") {
                 var starts = 0
                 checkAll(PropTestConfig(seed = SEED, iterations = ROUNDS), Arb.long()) { seed ->
                     val worker = UnguardedWorker(seed)
