Give the types around Dispatch files of their own

Cause: Dispatch.kt held the job state, its rules, its events, the interface of the placer and the submissions, 434 lines. Change: DispatchEvent, DispatchRules, RunPlacer and Submission are moved; no line of code changes. Measured: DispatchTest, PlacementTest, WaitingRunOrderTest, ResubmissionTest, OneRunPerTaskTest and HandoverRecoveryTest green.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/Dispatch.kt
@@ -5,81 +5,10 @@
  */
 package dandelionpoint.coordination.fleet
 
-import dandelionpoint.protocol.fleet.FleetJob
 import dandelionpoint.protocol.fleet.JobOutcome
-import dandelionpoint.protocol.fleet.JobQueue
 import dandelionpoint.protocol.fleet.RunEnd
 import dandelionpoint.protocol.fleet.TaskRun
 
-/** What the caller of [Dispatch] has to do. */
-internal sealed interface DispatchEvent {
-    /** [outcome] is the answer to [attempts], which are submissions of the job [jobId]. */
-    data class Finished(val jobId: String, val outcome: JobOutcome, val attempts: Set<AttemptKey>) : DispatchEvent
-
-    /** Stop the run [key], which was placed at [location] and whose job has ended. */
-    data class StopRun(val key: RunKey, val location: RunLocation) : DispatchEvent
-
-    /** The run of [order], which another VM has requested, has waited until its latest start and will not be started. */
-    data class WaitingRunExpired(val order: RunOrder) : DispatchEvent
-}
-
-/**
- * Places the run of an order on a worker with free capacity and starts it. Returns null if there is no such worker. Called with the
- * dispatch lock held.
- */
-internal fun interface RunPlacer {
-    fun place(order: RunOrder): RunLocation?
-
-    /**
-     * Requests the run of [order], which fits nowhere at the moment, at another VM if it has to wait there for a shorter time. Work of
-     * [aheadCoreMs] gets capacity in this VM's cells before it. Returns null if it is to wait here.
-     */
-    fun placeToWait(order: RunOrder, aheadCoreMs: Long): RunLocation? = null
-
-    /**
-     * The least expected wait of work of [queue] in the cells of other VMs, if it is [ownWaitMs] in those of this VM, both in ms. Null if
-     * there are no others.
-     */
-    fun waitElsewhereMs(queue: JobQueue, ownWaitMs: Double): Double? = null
-
-    /** Does the same as [place] for a run that another VM has requested, in this VM's cells only. Returns false if it fits on no worker. */
-    fun placeForPeer(order: RunOrder): Boolean = false
-}
-
-/**
- * When jobs are refused.
- *
- * @property lateFactor a job is refused if it is expected to take longer than this many times its objective ([DispatchedJob.objectiveMs])
- * @property maxWaitShare a job that has not started is refused after this share of the time up to its deadline, so that its client has
- *     time to submit it again
- * @property retrySpreadMs refused jobs are submitted again over this time or more after the expected wait, in ms; see [retryAfterMs]
- * @property maxJobs the most jobs in progress at once
- * @property lostRemoteRunDelayMs a task whose run was lost with another VM is not started again for this long, in ms, since the run may
- *     go on until its lease has expired
- */
-internal data class DispatchRules(
-    val lateFactor: Double = 1.3,
-    val maxWaitShare: Double = 0.4,
-    val retrySpreadMs: Long = 1_000,
-    val maxJobs: Int = 2_000,
-    val lostRemoteRunDelayMs: Long = 2_000,
-)
-
-/**
- * A submitted [job]. [entryVm] is the incarnation of the VM that the client is connected to, [number] counts the submissions there. Times
- * are in ms on this VM's clock.
- */
-internal data class Submission(
-    val job: FleetJob,
-    val queue: JobQueue,
-    val entryVm: String,
-    val arrivedAt: Long,
-    val deadlineAt: Long,
-    val number: Long = 0,
-) {
-    val attempt: AttemptKey get() = AttemptKey(entryVm, job.id, number)
-}
-
 /**
  * The jobs in progress. [origin] is this VM's incarnation. A scheduling pass also serves [waitingRuns], the runs that other VMs have
  * requested. All times are in ms on the VM's monotonic clock.
