--- a/src/test/kotlin/dandelionpoint/transport/peer/PeerNetworkTest.kt
+++ b/src/test/kotlin/dandelionpoint/transport/peer/PeerNetworkTest.kt
@@ -37,11 +37,11 @@
 /** By then, messages that were sent over loopback have arrived. */
 private const val MESSAGES_ARRIVE_MS = 200L
 
-/** An entry VM with only its peer network. */
 /** By then a VM with [SLOW_RECONNECT] has failed seven times to connect to an address, in ms. Its next attempt is nearly 3 s later. */
 private const val FAILED_ATTEMPTS_MS = 3_400L
 private val SLOW_RECONNECT = ReconnectRules(minMs = 50, maxMs = 60_000)
 
+/** An entry VM with only its peer network. */
 private class Node(val scope: CoroutineScope, val network: PeerNetwork, val vm: VmIdentity)
 
 private suspend fun node(
