Pass on that a simulated client has left, as the client server does

PlatformClients tells the work that begins later, through CancellationSignal; a trace shows that order of events. Change: the simulated connection has such a signal. FleetVm.endSubmissions, which only the simulation called, is gone.

--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -248,11 +248,6 @@
 
     override suspend fun find(jobId: String): JobPresence = inquiries.find(jobId)
 
-    /** The client of the submissions of [jobId] to this VM has disconnected. */
-    fun endSubmissions(jobId: String) {
-        forwarder.cancel(jobId)
-    }
-
     override fun waitingJobs(queue: String): Int =
         (dispatch.waitingJobs()[queue] ?: 0) + peers.liveness.live().sumOf { it.heartbeat.waitingJobs[queue] ?: 0 }
 
--- a/src/test/kotlin/dandelionpoint/fleet/SimulationScenario.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/SimulationScenario.kt
@@ -47,7 +47,7 @@
     // Guards against a lease that counts from when a heartbeat is read, although its sender was killed before.
     long("with VMs killed while others are paused", listOf(FaultKind.VM_KILLED_BESIDE_PAUSE), 96, 233, 289),
     // Guards against leases renewed, and late requests carried out, by a VM that has just resumed; against jobs of an unknown VM (7456).
-    long("with VMs killed after a pause", listOf(FaultKind.VM_KILLED_AFTER_PAUSE), 150, 156, 268, 7456),
+    long("with VMs killed after a pause", listOf(FaultKind.VM_KILLED_AFTER_PAUSE), 150, 156, 268, 5369, 7456),
     // Guards against a request that was held up and is acted on as if it had been sent when it is read.
     long("with long runs and one-way cuts", listOf(FaultKind.ONE_WAY_CUT), 26, 27, 142, 145),
     long("with long runs and faults of all kinds", FaultKind.entries, 62, 345),
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedVm.kt
@@ -1,6 +1,7 @@
 /* One entry VM of a simulated fleet: its process may be paused, or end and be started again as a new incarnation. */
 package dandelionpoint.fleet.simulation
 
+import dandelionpoint.fleet.CancellationSignal
 import dandelionpoint.fleet.FleetPorts
 import dandelionpoint.fleet.FleetVm
 import dandelionpoint.protocol.fleet.FleetJob
@@ -24,6 +25,9 @@
 /** A client's connection with one request. A running VM soon notices that it [isClosed]. */
 internal class ClientConnection(val job: FleetJob) {
     val answer = CompletableDeferred<ClientAnswer>()
+
+    /** Tells the VM's work for the request, also if that begins only later, that the client has closed the connection. */
+    val signal = CancellationSignal()
     var isClosed = false
         private set
 
@@ -78,7 +82,7 @@
             },
         )
         current = Incarnation(vm, dispatcher, transport, clock)
-        vm.pollClients = { endDisconnected(vm) }
+        vm.pollClients = { endDisconnected() }
         vm.scope.launch { vm.start() }
     }
 
@@ -129,7 +133,7 @@
         val vm = current?.vm ?: return connection.close()
         clients += connection
         vm.scope.launch {
-            val outcome = vm.run(connection.job, queue, waitMs)
+            val outcome = vm.run(connection.job, queue, waitMs, connection.signal)
             clients -= connection
             world.scope.launch {
                 world.hop()
@@ -152,10 +156,10 @@
         return withTimeoutOrNull(CANCEL_TIMEOUT_MS) { answer.await() }
     }
 
-    private fun endDisconnected(vm: FleetVm) = clients.filter { it.isClosed }.forEach { connection ->
+    private fun endDisconnected() = clients.filter { it.isClosed }.forEach { connection ->
         clients -= connection
         world.record(connection.job.id, "$name is told that the client has disconnected")
-        vm.endSubmissions(connection.job.id)
+        connection.signal.cancel()
     }
 
     companion object {
