Conclude from a refused connection only on what was alive before the attempt

Cause: a refusal at a peer's address counted as the end of whichever process was known there when it was handled. If the one before had refused, and its successor was heard before the refusal was handled (after a pause of this VM for example), the successor was taken for ended: its clients' jobs were ended here and its cells claimed, while it went on with both. Change: the date of the attempt goes with the refusal, and a peer that was alive on that date or later is not concerned.

--- a/src/main/kotlin/dandelionpoint/coordination/fleet/PeerLiveness.kt
+++ b/src/main/kotlin/dandelionpoint/coordination/fleet/PeerLiveness.kt
@@ -116,9 +116,13 @@
     /** True if [vm] is one of the [live] peers. */
     fun isLive(vm: VmIdentity): Boolean = heartbeat(vm) != null
 
-    /** The known peer at [host] and [port], null if there is none. */
-    fun peerAt(host: String, port: Int): VmIdentity? =
-        synchronized(lock) { peers.values.firstOrNull { it.vm.host == host && it.vm.port == port }?.vm }
+    /**
+     * The known peer at [host] and [port], null if there is none or if it was alive on the date [heardBefore] or later. What was found at
+     * the address on that date says nothing of a process that was alive afterwards: it may have started there since.
+     */
+    fun peerAt(host: String, port: Int, heardBefore: Long): VmIdentity? = synchronized(lock) {
+        peers.values.firstOrNull { it.vm.host == host && it.vm.port == port && it.aliveAt < heardBefore }?.vm
+    }
 
     /** True if a live peer has jobs that wait for capacity. */
     fun isAnyWaiting(): Boolean = synchronized(lock) { peers.values.any { it.heartbeat?.waitingJobs?.isNotEmpty() == true } }
--- a/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
+++ b/src/main/kotlin/dandelionpoint/fleet/FleetVm.kt
@@ -159,8 +159,8 @@
          * The process has ended, so that its cells need not stay without an owner until its claims are stale. A cut between data centres
          * may refuse connections too, so that this is concluded of a peer of the same one only.
          */
-        override fun refused(address: PeerAddress) {
-            val ended = peers.liveness.peerAt(address.host, address.port) ?: return
+        override fun refused(address: PeerAddress, attemptedAt: Long) {
+            val ended = peers.liveness.peerAt(address.host, address.port, heardBefore = attemptedAt) ?: return
             if (ended.dataCentre != settings.dataCentre) return
             log.info { "event=peer_ended peer=${ended.name} incarnation=${ended.incarnation}" }
             val owned = peers.directory.cellsOf(ended)
--- a/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
+++ b/src/main/kotlin/dandelionpoint/transport/peer/PeerNetwork.kt
@@ -38,8 +38,11 @@
 
     fun disconnected(vm: VmIdentity)
 
-    /** A connection to [address] was refused: no process listens there, or a firewall between the data centres says so. */
-    fun refused(address: PeerAddress) = Unit
+    /**
+     * A connection to [address] was refused, which this VM tried to open on the date [attemptedAt] (ms by its uptime clock): no process
+     * listened there, or a firewall between the data centres says so. The process that is there when this is called may be another one.
+     */
+    fun refused(address: PeerAddress, attemptedAt: Long) = Unit
 }
 
 /**
@@ -52,7 +55,7 @@
     private val handler: PeerHandler,
     private val events: PeerEvents,
     private val codec: FrameCodec = FrameCodec(),
-    uptime: UptimeClock = UptimeClock(Clock.System),
+    private val uptime: UptimeClock = UptimeClock(Clock.System),
     private val maxInbound: Int = MAX_INBOUND_CONNECTIONS,
     private val reconnect: ReconnectRules = ReconnectRules(),
 ) : PeerTransport {
@@ -171,6 +174,7 @@
     private suspend fun runConnection(address: PeerAddress, delay: ReconnectDelay) {
         var connection: PeerConnection? = null
         var ready = false
+        val attemptedAt = uptime.millis()
         try {
             val socket =
                 withTimeout(CONNECT_TIMEOUT_MS) {
@@ -187,7 +191,7 @@
             if (!scope.isActive) throw e
         } catch (e: ConnectException) {
             logConnectionEnd("outbound to ${address.host}:${address.port}", e)
-            if (REFUSED in e.message.orEmpty()) runCatching { events.refused(address) }
+            if (REFUSED in e.message.orEmpty()) runCatching { events.refused(address, attemptedAt) }
         } catch (e: Exception) {
             logConnectionEnd("outbound to ${address.host}:${address.port}", e)
         } finally {
--- a/src/test/kotlin/dandelionpoint/coordination/fleet/PeerLivenessTest.kt
+++ b/src/test/kotlin/dandelionpoint/coordination/fleet/PeerLivenessTest.kt
@@ -85,6 +85,17 @@
             }
         }
 
+        // Its cells would be taken over, and its clients' jobs ended, while it goes on with both.
+        describe("a connection that was refused at the address of a VM") {
+            it("says that the VM has ended if it was last alive before the attempt, and nothing if it was alive later") {
+                val liveness = PeerLiveness { 700 }
+                liveness.onHeartbeat(PEER, FleetHeartbeat(), now = 1_000, sentAt = 950)
+                liveness.peerAt(PEER.host, PEER.port, heardBefore = 951) shouldBe PEER
+                liveness.peerAt(PEER.host, PEER.port, heardBefore = 950).shouldBeNull()
+                liveness.peerAt(PEER.host, port = 2, heardBefore = 2_000).shouldBeNull()
+            }
+        }
+
         describe("the time of the last heartbeat") {
             it("is unknown before the first heartbeat and after the loss of the VM") {
                 val liveness = PeerLiveness { 700 }
--- a/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
+++ b/src/test/kotlin/dandelionpoint/fleet/simulation/SimulatedTransport.kt
@@ -30,7 +30,7 @@
     private val scope: CoroutineScope,
     private val handler: PeerHandler,
     private val events: PeerEvents,
-    uptime: UptimeClock,
+    private val uptime: UptimeClock,
 ) : PeerTransport {
     private val world = network.world
     private val stamps = FrameStamps(uptime)
@@ -70,7 +70,8 @@
     }
 
     private suspend fun open(address: PeerAddress): SimulatedConnection? {
-        val target = network.listener(address) ?: return null.also { if (network.refuses(name, address)) events.refused(address) }
+        val target = network.listener(address)
+            ?: return null.also { if (network.refuses(name, address)) events.refused(address, uptime.millis()) }
         if (network.isCut(name, target.name)) {
             delay(CONNECT_TIMEOUT_MS)
             return null
--- a/src/test/kotlin/dandelionpoint/transport/peer/PeerNetworkTest.kt
+++ b/src/test/kotlin/dandelionpoint/transport/peer/PeerNetworkTest.kt
@@ -78,7 +78,7 @@
             it("is reported, since its port refuses connections; one that does not answer is not") {
                 val refused = CopyOnWriteArrayList<PeerAddress>()
                 val events = object : PeerEvents by NoEvents {
-                    override fun refused(address: PeerAddress) {
+                    override fun refused(address: PeerAddress, attemptedAt: Long) {
                         refused += address
                     }
                 }
